Give each concern its own state, handlers and messages

Cause: one flat state class and one list of handlers would make every matter edit the same files. Ruled out: a registry filled by decorators, since its order is hidden.

Change: HostState is made of one state per folder; modules list EVENT_HANDLERS and MESSAGE_HANDLERS and the reducer joins them in a stated order.

Conclusion: folders can grow apart from each other.

--- a/packages/almondgap-core/almondgap_core/lifecycle.py
+++ b/packages/almondgap-core/almondgap_core/lifecycle.py
@@ -14,6 +14,9 @@
 
 def handle_tick(state: HostState, event: Tick) -> None:
     """End the planned stop once no request is left."""
-    if state.stopping and not state.stopped and not state.requests:
+    if state.stopping and not state.stopped and not state.requests.open:
         state.stopped = True
         state.perform(Stopped())
+
+
+EVENT_HANDLERS = {DrainRequested: handle_drain_requested, Tick: handle_tick}
--- a/packages/almondgap-core/almondgap_core/limits/admission.py
+++ b/packages/almondgap-core/almondgap_core/limits/admission.py
@@ -20,15 +20,18 @@
 
 def _find_bucket(state: HostState, name: str, now: int) -> Bucket:
     account = state.inventory.accounts[name]
-    hosts = sorted(state.hosts)
+    hosts = sorted(state.members.listed)
     rate = divide(account.rate, hosts, f"rate:{name}")[state.host]
     burst = divide(account.burst, hosts, f"burst:{name}")[state.host]
-    bucket = state.buckets.get(name)
+    bucket = state.limits.buckets.get(name)
     if bucket is None:
         bucket = Bucket.full(rate, burst, now)
-        state.buckets[name] = bucket
+        state.limits.buckets[name] = bucket
     elif (bucket.rate, bucket.burst) != (rate, burst):
         bucket.refill(now)
         bucket.rate = rate
         bucket.burst = burst
     return bucket
+
+
+EVENT_HANDLERS = {RateAsked: handle_rate_asked}
--- a/packages/almondgap-core/almondgap_core/messages.py
+++ b/packages/almondgap-core/almondgap_core/messages.py
@@ -83,22 +83,6 @@
     proof: bytes = field(validator=instance_of(bytes))
 
 
-@register
-@frozen
-class Heartbeat(Message):
-    """The sender is alive.
-
-    :ivar version: configuration version in force at the sender.
-    :ivar state: lifecycle state of the sender.
-    """
-
-    kind: ClassVar[str] = "heartbeat"
-
-    incarnation: int = integer()
-    version: int = integer()
-    state: str = text()
-
-
 def encode(message: Message) -> bytes:
     """Return the bytes of a message."""
     values = attrs.astuple(message, recurse=False)
--- a/packages/almondgap-core/almondgap_core/reducer.py
+++ b/packages/almondgap-core/almondgap_core/reducer.py
@@ -4,43 +4,59 @@
 
 from collections.abc import Callable
 
-from almondgap_core import events, lifecycle
+from almondgap_core import lifecycle
 from almondgap_core.effects import Effect
+from almondgap_core.events import Event, PeerMessage
 from almondgap_core.limits import admission
 from almondgap_core.membership import heartbeats
+from almondgap_core.messages import Message
 from almondgap_core.requests import flow
 from almondgap_core.settings import rollout
 from almondgap_core.state import HostState
 from almondgap_core.steering import targets
 
-Handler = Callable[[HostState, events.Event], None]
-
-HANDLERS: dict[type[events.Event], tuple[Handler, ...]] = {
-    events.Tick: (
-        heartbeats.handle_tick,
-        rollout.handle_tick,
-        lifecycle.handle_tick,
-    ),
-    events.RequestArrived: (flow.handle_request_arrived,),
-    events.CallerGone: (flow.handle_caller_gone,),
-    events.AnswerStarted: (flow.handle_answer_started,),
-    events.AttemptEnded: (flow.handle_attempt_ended,),
-    events.PeerMessage: (heartbeats.handle_peer_message,),
-    events.HostsListed: (heartbeats.handle_hosts_listed,),
-    events.TransactionEnded: (rollout.handle_transaction_ended,),
-    events.BodyFetched: (rollout.handle_body_fetched,),
-    events.DrainRequested: (lifecycle.handle_drain_requested,),
-    events.RateAsked: (admission.handle_rate_asked,),
-    events.RateGranted: (flow.handle_rate_granted,),
-    events.RateRefused: (flow.handle_rate_refused,),
-    events.SlotAsked: (targets.handle_slot_asked,),
-    events.SlotGranted: (flow.handle_slot_granted,),
-    events.SlotRefused: (flow.handle_slot_refused,),
-    events.SlotReleased: (targets.handle_slot_released,),
+EventHandler = Callable[[HostState, Event], None]
+MessageHandler = Callable[[HostState, str, Message, int], None]
+
+#: Modules that handle events, in the order in which they see the same event.
+EVENT_MODULES = (heartbeats, rollout, admission, targets, flow, lifecycle)
+
+#: Modules that handle messages from other hosts.
+MESSAGE_MODULES = (heartbeats,)
+
+
+def _collect_event_handlers() -> dict[type[Event], tuple[EventHandler, ...]]:
+    handlers: dict[type[Event], tuple[EventHandler, ...]] = {}
+    for module in EVENT_MODULES:
+        for kind, handle in module.EVENT_HANDLERS.items():
+            handlers[kind] = (*handlers.get(kind, ()), handle)
+    return handlers
+
+
+def _collect_message_handlers() -> dict[type[Message], MessageHandler]:
+    handlers: dict[type[Message], MessageHandler] = {}
+    for module in MESSAGE_MODULES:
+        for kind, handle in module.MESSAGE_HANDLERS.items():
+            if kind in handlers:
+                raise ValueError(f"two handlers for message {kind.__name__}")
+            handlers[kind] = handle
+    return handlers
+
+
+def _handle_peer_message(state: HostState, event: PeerMessage) -> None:
+    handle = MESSAGE_HANDLERS.get(type(event.message))
+    if handle is not None:
+        handle(state, event.host, event.message, event.now)
+
+
+MESSAGE_HANDLERS = _collect_message_handlers()
+EVENT_HANDLERS = {
+    PeerMessage: (_handle_peer_message,),
+    **_collect_event_handlers(),
 }
 
 
-def step(state: HostState, event: events.Event) -> list[Effect]:
+def step(state: HostState, event: Event) -> list[Effect]:
     """Handle one event and those it causes inside the host; return the effects.
 
     :raises KeyError: no handler is registered for the type of event.
@@ -48,7 +64,7 @@
     state.pending.append(event)
     while state.pending:
         current = state.pending.popleft()
-        for handle in HANDLERS[type(current)]:
+        for handle in EVENT_HANDLERS[type(current)]:
             handle(state, current)
     effects = state.effects
     state.effects = []
--- a/packages/almondgap-core/almondgap_core/requests/flow.py
+++ b/packages/almondgap-core/almondgap_core/requests/flow.py
@@ -56,7 +56,7 @@
         _refuse_unknown(state, event, account)
         return
     record = _open_record(event, service, account.name if account else OPEN_ACCOUNT)
-    state.requests[event.req_id] = record
+    state.requests.open[event.req_id] = record
     if account is None:
         state.emit(RateGranted(event.now, event.req_id))
     else:
@@ -66,14 +66,14 @@
 
 def handle_rate_granted(state: HostState, event: RateGranted) -> None:
     """Ask for a slot."""
-    record = state.requests.get(event.req_id)
+    record = state.requests.open.get(event.req_id)
     if record is not None:
         _ask_slot(state, record, event.now)
 
 
 def handle_rate_refused(state: HostState, event: RateRefused) -> None:
     """Tell the caller that its client account is over its rate."""
-    record = state.requests.get(event.req_id)
+    record = state.requests.open.get(event.req_id)
     if record is None:
         return
     detail = f"Client account {record.account} is over its rate."
@@ -83,7 +83,7 @@
 
 def handle_slot_granted(state: HostState, event: SlotGranted) -> None:
     """Send the request to the target."""
-    record = state.requests.get(event.req_id)
+    record = state.requests.open.get(event.req_id)
     if record is None:
         state.emit(SlotReleased(event.now, event.req_id, event.target, None))
         return
@@ -99,7 +99,7 @@
 
 def handle_slot_refused(state: HostState, event: SlotRefused) -> None:
     """Tell the caller that there is no capacity."""
-    record = state.requests.get(event.req_id)
+    record = state.requests.open.get(event.req_id)
     if record is None:
         return
     refusal = Refusal(
@@ -128,7 +128,7 @@
 
 def handle_attempt_ended(state: HostState, event: AttemptEnded) -> None:
     """Finish the request, try another target, or say what is known."""
-    record = state.requests.get(event.req_id)
+    record = state.requests.open.get(event.req_id)
     if record is None or record.attempt != event.attempt:
         return
     if record.stage not in (Stage.RUNNING, Stage.ANSWERING):
@@ -146,7 +146,7 @@
 
 def handle_caller_gone(state: HostState, event: CallerGone) -> None:
     """Stop working for a caller that no longer listens."""
-    record = state.requests.pop(event.req_id, None)
+    record = state.requests.open.pop(event.req_id, None)
     if record is None:
         return
     ran = record.stage in (Stage.RUNNING, Stage.ANSWERING)
@@ -194,7 +194,7 @@
 
 
 def _find_running(state: HostState, req_id: str, attempt: int) -> RequestRecord | None:
-    record = state.requests.get(req_id)
+    record = state.requests.open.get(req_id)
     if record is None or record.attempt != attempt or record.stage is not Stage.RUNNING:
         return None
     return record
@@ -214,7 +214,7 @@
 ) -> None:
     if event.outcome is not AttemptOutcome.COMPLETE:
         state.perform(CutAnswer(record.req_id))
-    del state.requests[record.req_id]
+    del state.requests.open[record.req_id]
     _record_end(state, record, record.status, Verdict.RAN, event.now)
 
 
@@ -233,7 +233,7 @@
 def _refuse(
     state: HostState, record: RequestRecord, refusal: Refusal, now: int
 ) -> None:
-    del state.requests[record.req_id]
+    del state.requests.open[record.req_id]
     state.perform(Refuse(record.req_id, refusal))
     _record_end(state, record, refusal.status, refusal.verdict, now)
 
@@ -252,3 +252,15 @@
         record.req_id, record.account, record.service, status, verdict, elapsed
     )
     state.perform(end)
+
+
+EVENT_HANDLERS = {
+    RequestArrived: handle_request_arrived,
+    CallerGone: handle_caller_gone,
+    AnswerStarted: handle_answer_started,
+    AttemptEnded: handle_attempt_ended,
+    RateGranted: handle_rate_granted,
+    RateRefused: handle_rate_refused,
+    SlotGranted: handle_slot_granted,
+    SlotRefused: handle_slot_refused,
+}
--- /dev/null
+++ b/packages/almondgap-core/almondgap_core/requests/state.py
@@ -0,0 +1,17 @@
+"""What a host keeps of requests."""
+
+from __future__ import annotations
+
+from attrs import Factory, define
+
+from almondgap_core.requests.record import RequestRecord
+
+
+@define
+class RequestsState:
+    """Requests that are not over.
+
+    :ivar open: by request identifier.
+    """
+
+    open: dict[str, RequestRecord] = Factory(dict)
--- a/packages/almondgap-core/almondgap_core/settings/rollout.py
+++ b/packages/almondgap-core/almondgap_core/settings/rollout.py
@@ -24,10 +24,10 @@
 
 def handle_tick(state: HostState, event: Tick) -> None:
     """Read the head row when it is time."""
-    if event.now < state.next_head_read:
+    if event.now < state.settings.next_head_read:
         return
     jitter = state.draw(HEAD_JITTER_US)
-    state.next_head_read = event.now + HEAD_INTERVAL_US + jitter
+    state.settings.next_head_read = event.now + HEAD_INTERVAL_US + jitter
     state.perform(Transact(TICKET, Transaction(reads=(HEAD,))))
 
 
@@ -41,16 +41,16 @@
     if value is None:
         return
     head = Head.from_text(value)
-    if head.version > max(state.version, state.fetching):
-        state.fetching = head.version
+    if head.version > max(state.settings.version, state.settings.fetching):
+        state.settings.fetching = head.version
         state.perform(FetchBody(head.version, head.body))
 
 
 def handle_body_fetched(state: HostState, event: BodyFetched) -> None:
     """Put a body in force; keep the old one if the new one cannot be used."""
-    if event.version == state.fetching:
-        state.fetching = 0
-    if event.text is None or event.version <= state.version:
+    if event.version == state.settings.fetching:
+        state.settings.fetching = 0
+    if event.text is None or event.version <= state.settings.version:
         return
     try:
         inventory = load_inventory(event.text, f"configuration {event.version}")
@@ -58,8 +58,8 @@
         fields = (("version", event.version), ("error", str(exc)))
         state.perform(LogEntry("configuration rejected", fields))
         return
-    state.version = event.version
-    state.inventory = inventory
+    state.settings.version = event.version
+    state.settings.inventory = inventory
     state.perform(LogEntry("configuration in force", (("version", event.version),)))
 
 
@@ -72,3 +72,10 @@
     inventory = Inventory.from_document(parse_document(text, source), report)
     report.raise_errors()
     return inventory
+
+
+EVENT_HANDLERS = {
+    Tick: handle_tick,
+    TransactionEnded: handle_transaction_ended,
+    BodyFetched: handle_body_fetched,
+}
--- a/packages/almondgap-core/almondgap_core/state.py
+++ b/packages/almondgap-core/almondgap_core/state.py
@@ -7,10 +7,14 @@
 from attrs import Factory, define
 
 from almondgap_core.effects import Effect
-from almondgap_core.events import Event, HostEntry
-from almondgap_core.limits.bucket import Bucket
-from almondgap_core.requests.record import RequestRecord
+from almondgap_core.events import Event
+from almondgap_core.limits.state import LimitsState
+from almondgap_core.membership.state import MembershipState
+from almondgap_core.operations.state import OperationsState
+from almondgap_core.requests.state import RequestsState
 from almondgap_core.settings.inventory import Inventory
+from almondgap_core.settings.state import SettingsState
+from almondgap_core.steering.state import SteeringState
 
 
 @define
@@ -18,39 +22,42 @@
     """Everything that one host knows and decides from.
 
     :ivar host: name of this host.
-    :ivar incarnation: number of this run of the host.
-    :ivar version: configuration version in force, 0 before the first.
-    :ivar hosts: hosts by name, this one included.
-    :ivar stopping: whether the host takes no new work.
-    :ivar buckets: this host's share of each account's rate.
-    :ivar slots_used: requests that this host runs at each target.
-    :ivar requests: requests that are not over, by identifier.
+    :ivar incarnation: number of this run of the host, greater than in earlier runs.
+    :ivar seed: state of the pseudo-random sequence.
+    :ivar stopping: whether a planned stop has begun.
+    :ivar stopped: whether the planned stop is complete.
+    :ivar pending: internal events that the current step still has to handle.
+    :ivar effects: effects of the current step.
     """
 
     host: str
     failure_domain: str
     incarnation: int
-    inventory: Inventory | None = None
-    version: int = 0
-    hosts: dict[str, HostEntry] = Factory(dict)
+    seed: int = 1
     stopping: bool = False
     stopped: bool = False
-    buckets: dict[str, Bucket] = Factory(dict)
-    slots_used: dict[str, int] = Factory(dict)
-    requests: dict[str, RequestRecord] = Factory(dict)
-    heartbeats: dict[str, int] = Factory(dict)
-    peer_versions: dict[str, int] = Factory(dict)
-    next_heartbeat: int = 0
-    next_head_read: int = 0
-    fetching: int = 0
-    seed: int = 1
+    settings: SettingsState = Factory(SettingsState)
+    members: MembershipState = Factory(MembershipState)
+    limits: LimitsState = Factory(LimitsState)
+    operations: OperationsState = Factory(OperationsState)
+    steering: SteeringState = Factory(SteeringState)
+    requests: RequestsState = Factory(RequestsState)
     pending: deque[Event] = Factory(deque)
     effects: list[Effect] = Factory(list)
 
+    @property
+    def inventory(self) -> Inventory | None:
+        """The inventory in force, or None before the first."""
+        return self.settings.inventory
+
     def emit(self, event: Event) -> None:
         """Queue an internal event; the reducer handles it in the same step."""
         self.pending.append(event)
 
+    def perform(self, effect: Effect) -> None:
+        """Add an effect to those that the step returns."""
+        self.effects.append(effect)
+
     def draw(self, bound: int) -> int:
         """Return the next pseudo-random integer from 0 to ``bound`` - 1.
 
@@ -59,7 +66,3 @@
         """
         self.seed = (self.seed * 6364136223846793005 + 1442695040888963407) % 2**64
         return (self.seed >> 33) % bound
-
-    def perform(self, effect: Effect) -> None:
-        """Add an effect to those that the step returns."""
-        self.effects.append(effect)
--- a/packages/almondgap-core/almondgap_core/steering/lookup.py
+++ b/packages/almondgap-core/almondgap_core/steering/lookup.py
@@ -34,10 +34,12 @@
 
 def look_up(state: HostState, service: str) -> LookupAnswer:
     """Return the entry hosts for ``service``, this host first if it can serve it."""
-    entries = [entry for entry in state.hosts.values() if not entry.leaving]
+    entries = [entry for entry in state.members.listed.values() if not entry.leaving]
     own = bool(list_owned_targets(state, service))
     entries.sort(key=lambda entry: (entry.name != state.host or not own, entry.name))
     hosts = tuple(
         EntryHost(entry.name, entry.address, entry.caller_port, 1) for entry in entries
     )
-    return LookupAnswer(service, state.version, hosts, state.inventory.lookup_ttl)
+    return LookupAnswer(
+        service, state.settings.version, hosts, state.inventory.lookup_ttl
+    )
--- a/packages/almondgap-core/almondgap_core/steering/targets.py
+++ b/packages/almondgap-core/almondgap_core/steering/targets.py
@@ -12,7 +12,7 @@
     """Grant a slot at the least used target that this host owns."""
     best = None
     for target in list_owned_targets(state, event.service):
-        used = state.slots_used.get(target.name, 0)
+        used = state.steering.slots_used.get(target.name, 0)
         if target.name in event.exclude or used >= target.slots:
             continue
         load = used / target.slots
@@ -23,13 +23,13 @@
         state.emit(SlotRefused(event.now, event.req_id, detail))
         return
     name = best[1].name
-    state.slots_used[name] = state.slots_used.get(name, 0) + 1
+    state.steering.slots_used[name] = state.steering.slots_used.get(name, 0) + 1
     state.emit(SlotGranted(event.now, event.req_id, name))
 
 
 def handle_slot_released(state: HostState, event: SlotReleased) -> None:
     """Make the slot free again."""
-    state.slots_used[event.target] -= 1
+    state.steering.slots_used[event.target] -= 1
 
 
 def list_owned_targets(state: HostState, service: str) -> list[Target]:
@@ -45,7 +45,10 @@
 def _find_owner(state: HostState, target: Target) -> str | None:
     hosts = [
         entry.name
-        for entry in state.hosts.values()
+        for entry in state.members.listed.values()
         if entry.failure_domain == target.failure_domain
     ]
     return rank(hosts, target.name)[0] if hosts else None
+
+
+EVENT_HANDLERS = {SlotAsked: handle_slot_asked, SlotReleased: handle_slot_released}
--- a/packages/almondgap-daemon/almondgap_daemon/main.py
+++ b/packages/almondgap-daemon/almondgap_daemon/main.py
@@ -77,7 +77,7 @@
 
 
 def _begin_stop(node: Node, cfg: Settings) -> None:
-    log.info("planned stop", running=len(node.state.requests))
+    log.info("planned stop", running=len(node.state.requests.open))
     reactor.callLater(cfg.stop_deadline, _end, node)
     node.feed(DrainRequested(node.now()))
 
@@ -85,7 +85,7 @@
 def _end(node: Node) -> None:
     if not reactor.running:
         return
-    log.info("host stopped", cut=len(node.state.requests))
+    log.info("host stopped", cut=len(node.state.requests.open))
     node.stop()
     reactor.stop()
 
--- a/packages/almondgap-daemon/almondgap_daemon/operators.py
+++ b/packages/almondgap-daemon/almondgap_daemon/operators.py
@@ -25,10 +25,12 @@
             "host": state.host,
             "failure_domain": state.failure_domain,
             "incarnation": state.incarnation,
-            "version": state.version,
+            "version": state.settings.version,
             "stopping": state.stopping,
-            "running": len(state.requests),
-            "peers": dict(sorted(state.peer_versions.items())),
+            "running": len(state.requests.open),
+            "peers": {
+                name: peer.version for name, peer in sorted(state.members.peers.items())
+            },
             "control_bytes_sent": self.node.links.sent_bytes,
         }
         return _answer(request, body)
--- a/packages/almondgap-testkit/almondgap_testkit/builders.py
+++ b/packages/almondgap-testkit/almondgap_testkit/builders.py
@@ -79,9 +79,9 @@
 def build_state(inventory: Inventory | None = None) -> HostState:
     """Return a host that has a configuration and knows itself."""
     state = HostState(HOST, DOMAIN, 1)
-    state.inventory = inventory or build_inventory()
-    state.version = 1
-    state.hosts = {HOST: build_entry()}
+    state.settings.inventory = inventory or build_inventory()
+    state.settings.version = 1
+    state.members.listed = {HOST: build_entry()}
     return state
 
 
--- a/tests/core/requests/test_flow.py
+++ b/tests/core/requests/test_flow.py
@@ -30,8 +30,8 @@
         ended = AttemptEnded(2, "r1", 1, AttemptOutcome.COMPLETE)
         (end,) = pick(step(self.state, ended), Finished)
         self.assertEqual(end.status, 200)
-        self.assertEqual(self.state.requests, {})
-        self.assertEqual(sum(self.state.slots_used.values()), 0)
+        self.assertEqual(self.state.requests.open, {})
+        self.assertEqual(sum(self.state.steering.slots_used.values()), 0)
 
     def test_unknown_key_is_refused_as_not_run(self):
         effects = step(self.state, build_arrival(key="agk_one_wrong"))
