Add fakes on a virtual clock and the frame of the bench

Cause: limits, operations and rollout have to be attacked under cuts, pauses, crashes and outages, and real processes cannot repeat a run.

Change: a world of real reducers around a virtual clock, a network with delay, loss, repeats and cuts, a platform with outages and lost answers, and targets that keep count. Every host's clock has its own offset.

Conclusion: the ground for attacks is there.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PACKAGES := core daemon cli testkit
 STAMP := $(VENV)/.installed
 
-.PHONY: test lint format
+.PHONY: test lint format bench
 
 $(STAMP): requirements.txt $(wildcard packages/*/pyproject.toml)
 	python3 -m venv $(VENV)
@@ -22,3 +22,6 @@
 format: $(STAMP)
 	$(BIN)/ruff format .
 	$(BIN)/ruff check --fix .
+
+bench: $(STAMP)
+	$(BIN)/python -m almondgap_testkit.bench
--- /dev/null
+++ b/packages/almondgap-testkit/almondgap_testkit/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements; one module each, all run by ``make bench``."""
--- /dev/null
+++ b/packages/almondgap-testkit/almondgap_testkit/fakes/__init__.py
@@ -0,0 +1,1 @@
+"""Small fakes at the core's interfaces, on a virtual clock."""
--- /dev/null
+++ b/packages/almondgap-testkit/almondgap_testkit/fakes/network.py
@@ -0,0 +1,82 @@
+"""A network between failure domains: delay, jitter, loss, repeats and cuts."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable, Mapping
+
+from attrs import Factory, define
+
+from almondgap_core.units import millis
+from almondgap_testkit.fakes.clock import VirtualClock
+
+SAME_DOMAIN_US = millis(0.2)
+SAME_REGION_US = millis(3.5)
+OTHER_REGION_US = millis(12)
+
+#: Place of the platform's services in cuts.
+PLATFORM = "platform"
+
+
+@define
+class FakeNetwork:
+    """Carries messages between places; a place is a failure domain or the platform.
+
+    :ivar regions: region of each place.
+    :ivar loss: share of messages that are lost.
+    :ivar repeat: share of messages that arrive twice.
+    :ivar jitter: most that is added to a message's delay, in microseconds.
+    :ivar slow: added to every delay between two places, in microseconds.
+    """
+
+    clock: VirtualClock
+    rng: random.Random
+    regions: Mapping[str, str]
+    loss: float = 0.0
+    repeat: float = 0.0
+    jitter: int = millis(0.5)
+    slow: dict[frozenset[str], int] = Factory(dict)
+    cuts: set[frozenset[str]] = Factory(set)
+    messages: int = 0
+
+    def cut(self, one: str, other: str) -> None:
+        """Let nothing pass between two places."""
+        self.cuts.add(frozenset((one, other)))
+
+    def isolate(self, place: str) -> None:
+        """Cut a place off from all others."""
+        for other in self.regions:
+            if other != place:
+                self.cut(place, other)
+
+    def heal(self) -> None:
+        """Undo all cuts."""
+        self.cuts.clear()
+
+    def is_cut(self, one: str, other: str) -> bool:
+        """Return whether nothing passes between two places."""
+        return frozenset((one, other)) in self.cuts
+
+    def measure_delay(self, one: str, other: str) -> int:
+        """Return the delay one way without jitter, in microseconds."""
+        if one == other:
+            base = SAME_DOMAIN_US
+        elif self.regions[one] == self.regions[other]:
+            base = SAME_REGION_US
+        else:
+            base = OTHER_REGION_US
+        return base + self.slow.get(frozenset((one, other)), 0)
+
+    def carry(self, one: str, other: str, deliver: Callable[[], None]) -> None:
+        """Deliver a message unless it is lost or cut on the way."""
+        self.messages += 1
+        if self.is_cut(one, other) or self.rng.random() < self.loss:
+            return
+        copies = 2 if self.rng.random() < self.repeat else 1
+        for _ in range(copies):
+            delay = self.measure_delay(one, other) + self.rng.randint(0, self.jitter)
+            self.clock.call_later(delay, lambda: self._arrive(one, other, deliver))
+
+    def _arrive(self, one: str, other: str, deliver: Callable[[], None]) -> None:
+        if not self.is_cut(one, other):
+            deliver()
--- /dev/null
+++ b/packages/almondgap-testkit/almondgap_testkit/fakes/world.py
@@ -0,0 +1,338 @@
+"""A fleet of reducers on a virtual clock, with the fakes around them."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+
+from attrs import Factory, define
+
+from almondgap_core import effects, events
+from almondgap_core.keys.credential import Credential
+from almondgap_core.messages import decode, encode
+from almondgap_core.platform import (
+    Transaction,
+    compute_object_name,
+)
+from almondgap_core.reducer import step
+from almondgap_core.settings.head import HEAD, Head, plan_head_change
+from almondgap_core.settings.inventory import Inventory
+from almondgap_core.settings.rollout import load_inventory
+from almondgap_core.state import HostState
+from almondgap_core.units import millis, seconds
+from almondgap_core.verdict import Refusal, Verdict
+from almondgap_testkit.fakes.clock import VirtualClock
+from almondgap_testkit.fakes.network import PLATFORM, FakeNetwork
+from almondgap_testkit.fakes.platform import FakePlatform
+from almondgap_testkit.fakes.targets import FakeTarget
+
+TICK_US = millis(50)
+HOST_LIST_US = seconds(2)
+
+#: Clocks of hosts differ by up to this, in microseconds.
+CLOCK_OFFSET_US = seconds(1_000)
+
+
+@define
+class FakeAnswer:
+    """What a caller got.
+
+    :ivar status: 0 while there is no answer, or if it was cut.
+    """
+
+    host: str
+    account: str
+    asked: int
+    answered: int = 0
+    status: int = 0
+    verdict: Verdict | None = None
+    refusal: Refusal | None = None
+    cut: bool = False
+
+
+@define
+class FakeHost:
+    """One reducer, its clock and whether it runs.
+
+    :ivar offset: its monotonic clock minus the world's, in microseconds.
+    :ivar inbox: what waits while the host is paused.
+    """
+
+    entry: events.HostEntry
+    state: HostState | None
+    offset: int
+    paused: bool = False
+    inbox: list[Callable[[], None]] = Factory(list)
+    log: list[events.Event] = Factory(list)
+
+
+class World:
+    """Everything that one run needs.
+
+    :ivar answers: what callers got, by request identifier.
+    :ivar keep_events: whether hosts' events are kept for replay.
+    """
+
+    def __init__(self, text: str, hosts: dict[str, str], seed: int = 1) -> None:
+        """Make a world that stands still.
+
+        :param text: text of the inventory.
+        :param hosts: failure domain of each host by name.
+        """
+        self.clock = VirtualClock()
+        self.rng = random.Random(seed)
+        self.inventory: Inventory = load_inventory(text, "world")
+        regions = {d.name: d.region for d in self.inventory.failure_domains.values()}
+        regions[PLATFORM] = next(iter(self.inventory.regions))
+        self.network = FakeNetwork(self.clock, self.rng, regions)
+        self.platform = FakePlatform(self.network)
+        self.targets: dict[str, FakeTarget] = {}
+        self.hosts: dict[str, FakeHost] = {}
+        self.answers: dict[str, FakeAnswer] = {}
+        self.labels: dict[str, str] = {}
+        self.keep_events = False
+        self.listed: tuple[events.HostEntry, ...] = ()
+        self._incarnations = 0
+        self.apply(text)
+        for name, domain in hosts.items():
+            entry = events.HostEntry(name, domain, "127.0.0.1", 8080, 8082)
+            offset = self.rng.randint(1, CLOCK_OFFSET_US)
+            self.hosts[name] = FakeHost(entry, None, offset)
+        self.listed = tuple(host.entry for host in self.hosts.values())
+        for name in hosts:
+            self.start(name)
+
+    def apply(self, text: str) -> None:
+        """Make ``text`` the current configuration, as an operator does."""
+        inventory = load_inventory(text, "world")
+        for name, target in inventory.targets.items():
+            known = self.targets.get(name)
+            if known is None:
+                self.targets[name] = FakeTarget(self.clock, target)
+            else:
+                known.target = target
+        body = text.encode()
+        name = compute_object_name(body)
+        self.platform.objects[name] = body
+        row = self.platform.tables.apply(Transaction(reads=(HEAD,))).rows[0]
+        version = Head.from_text(row.value).version + 1 if row.value else 1
+        head = Head(version, name, "operator", "", "")
+        self.platform.tables.apply(plan_head_change(head, row.version))
+
+    def start(self, name: str) -> None:
+        """Start a host with nothing in memory."""
+        host = self.hosts[name]
+        self._incarnations += 1
+        domain = host.entry.failure_domain
+        seed = self.rng.getrandbits(60)
+        state = HostState(name, domain, self._incarnations, seed=seed)
+        host.state = state
+        host.paused = False
+        host.inbox.clear()
+        self._tick(name, state)
+        self._list_hosts(name, state)
+
+    def crash(self, name: str) -> None:
+        """End a host at once."""
+        self.hosts[name].state = None
+
+    def pause(self, name: str) -> None:
+        """Stop a host's loop; what arrives waits."""
+        self.hosts[name].paused = True
+
+    def resume(self, name: str) -> None:
+        """Let a paused host go on."""
+        host = self.hosts[name]
+        host.paused = False
+        waiting, host.inbox = host.inbox, []
+        for action in waiting:
+            action()
+
+    def run(self, duration: int) -> None:
+        """Let ``duration`` microseconds pass."""
+        self.clock.run_until(self.clock.now + duration)
+
+    def call(
+        self,
+        host: str,
+        service: str,
+        account: str,
+        method: str = "GET",
+        label: str = "",
+        **extra,
+    ) -> str:
+        """Send a caller's request to a host and return its identifier.
+
+        :param extra: further fields of :class:`RequestArrived`.
+        """
+        req_id = f"r{len(self.answers) + 1}"
+        self.answers[req_id] = FakeAnswer(host, account, self.clock.now)
+        self.labels[req_id] = label or req_id
+        credential = self._find_credential(account)
+
+        def arrive() -> None:
+            now = self.read_clock(host)
+            deadline = now + seconds(60)
+            arrival = events.RequestArrived(
+                now, req_id, service, method, credential, deadline, **extra
+            )
+            self._feed(host, arrival)
+
+        if self.hosts[host].state is not None:
+            self._enter(host, self.hosts[host].state, arrive)
+        return req_id
+
+    def read_clock(self, host: str) -> int:
+        """Return the monotonic time of a host."""
+        return self.clock.now + self.hosts[host].offset
+
+    def _find_credential(self, account: str) -> Credential | None:
+        for entry in self.inventory.keys.values():
+            if entry.account == account:
+                return Credential(entry.key_id, entry.digest)
+        return None
+
+    def _enter(self, name: str, state: HostState, action: Callable[[], None]) -> None:
+        """Let a host do something, unless it is another run of it by now."""
+        host = self.hosts[name]
+        if host.state is not state:
+            return
+        if host.paused:
+            host.inbox.append(lambda: self._enter(name, state, action))
+            return
+        action()
+
+    def _feed(self, name: str, event: events.Event) -> None:
+        host = self.hosts[name]
+        if self.keep_events:
+            host.log.append(event)
+        for effect in step(host.state, event):
+            self._perform(name, host.state, effect)
+
+    def _tick(self, name: str, state: HostState) -> None:
+        def tick() -> None:
+            self._feed(name, events.Tick(self.read_clock(name)))
+            self.clock.call_later(TICK_US, lambda: self._tick(name, state))
+
+        self._enter(name, state, tick)
+
+    def _list_hosts(self, name: str, state: HostState) -> None:
+        def listed() -> None:
+            place = self.hosts[name].entry.failure_domain
+            if not self.platform.down and not self.network.is_cut(place, PLATFORM):
+                self._feed(name, events.HostsListed(self.read_clock(name), self.listed))
+            self.clock.call_later(HOST_LIST_US, lambda: self._list_hosts(name, state))
+
+        self._enter(name, state, listed)
+
+    def _perform(self, name: str, state: HostState, effect: effects.Effect) -> None:
+        match effect:
+            case effects.SendMessage():
+                self._send(name, effect)
+            case effects.Transact():
+                self._transact(name, state, effect)
+            case effects.FetchBody():
+                self._fetch(name, state, effect)
+            case effects.WakeAt():
+                self._wake(name, state, effect.at)
+            case effects.Dispatch():
+                self._dispatch(name, state, effect)
+            case effects.Relay():
+                self.answers[effect.req_id].verdict = effect.verdict
+            case effects.Refuse():
+                answer = self.answers[effect.req_id]
+                answer.refusal = effect.refusal
+                answer.verdict = effect.refusal.verdict
+            case effects.CutAnswer():
+                self.answers[effect.req_id].cut = True
+            case effects.Finished():
+                answer = self.answers[effect.req_id]
+                answer.status = effect.status
+                answer.answered = self.clock.now
+            case effects.Stopped():
+                self.crash(name)
+
+    def _send(self, name: str, effect: effects.SendMessage) -> None:
+        receiver = self.hosts.get(effect.host)
+        if receiver is None:
+            return
+        message = decode(encode(effect.message))
+        one = self.hosts[name].entry.failure_domain
+
+        def deliver() -> None:
+            if receiver.state is None:
+                return
+            self._enter(effect.host, receiver.state, arrive)
+
+        def arrive() -> None:
+            now = self.read_clock(effect.host)
+            self._feed(effect.host, events.PeerMessage(now, name, message))
+
+        self.network.carry(one, receiver.entry.failure_domain, deliver)
+
+    def _transact(self, name: str, state: HostState, effect: effects.Transact) -> None:
+        def report(result) -> None:
+            self._enter(name, state, lambda: arrive(result))
+
+        def arrive(result) -> None:
+            now = self.read_clock(name)
+            self._feed(name, events.TransactionEnded(now, effect.ticket, result))
+
+        place = self.hosts[name].entry.failure_domain
+        self.platform.transact(place, effect.transaction, report)
+
+    def _fetch(self, name: str, state: HostState, effect: effects.FetchBody) -> None:
+        def report(body: bytes | None) -> None:
+            self._enter(name, state, lambda: arrive(body))
+
+        def arrive(body: bytes | None) -> None:
+            text = None if body is None else body.decode()
+            now = self.read_clock(name)
+            self._feed(name, events.BodyFetched(now, effect.version, text))
+
+        place = self.hosts[name].entry.failure_domain
+        self.platform.fetch(place, effect.body, report)
+
+    def _wake(self, name: str, state: HostState, at: int) -> None:
+        def wake() -> None:
+            self._feed(name, events.Tick(self.read_clock(name)))
+
+        due = at - self.hosts[name].offset
+        self.clock.call_at(due, lambda: self._enter(name, state, wake))
+
+    def _dispatch(self, name: str, state: HostState, effect: effects.Dispatch) -> None:
+        target = self.targets[effect.target.name]
+        here = self.hosts[name].entry.failure_domain
+        there = effect.target.failure_domain
+
+        def report(progress: int | events.AttemptOutcome) -> None:
+            back = self.network.measure_delay(there, here)
+            self.clock.call_later(
+                back, lambda: self._enter(name, state, lambda: arrive(progress))
+            )
+
+        def arrive(progress: int | events.AttemptOutcome) -> None:
+            now = self.read_clock(name)
+            key = (effect.req_id, effect.attempt)
+            if isinstance(progress, int):
+                self._feed(name, events.AnswerStarted(now, *key, progress))
+            else:
+                self._feed(name, events.AttemptEnded(now, *key, progress))
+
+        if self.network.is_cut(here, there):
+            report(events.AttemptOutcome.NOT_SENT)
+            return
+        delay = self.network.measure_delay(here, there)
+        label = self.labels[effect.req_id]
+        self.clock.call_later(delay, lambda: target.run(label, report))
+        self._arm_deadline(name, state, effect)
+
+    def _arm_deadline(self, name: str, state, effect: effects.Dispatch) -> None:
+        def give_up() -> None:
+            now = self.read_clock(name)
+            outcome = events.AttemptOutcome.TIMED_OUT
+            ended = events.AttemptEnded(now, effect.req_id, effect.attempt, outcome)
+            self._feed(name, ended)
+
+        due = effect.deadline - self.hosts[name].offset
+        self.clock.call_at(due, lambda: self._enter(name, state, give_up))
