--- a/packages/almondgap-core/almondgap_core/effects.py
+++ b/packages/almondgap-core/almondgap_core/effects.py
@@ -5,6 +5,7 @@
 from attrs import frozen
 
 from almondgap_core.messages import Message
+from almondgap_core.operations.record import KeptAnswer
 from almondgap_core.platform import Transaction
 from almondgap_core.settings.inventory import Target
 from almondgap_core.verdict import Refusal, Verdict
@@ -56,6 +57,14 @@
     refusal: Refusal
 
 
+@frozen
+class Replay(Effect):
+    """Answer the caller with the first answer of its operation."""
+
+    req_id: str
+    answer: KeptAnswer
+
+
 @frozen
 class CutAnswer(Effect):
     """Break off an answer that has begun, so that it cannot look whole."""
--- a/packages/almondgap-core/almondgap_core/events.py
+++ b/packages/almondgap-core/almondgap_core/events.py
@@ -11,6 +11,7 @@
 
 from almondgap_core.keys.credential import Credential
 from almondgap_core.messages import Message
+from almondgap_core.operations.record import KeptAnswer
 from almondgap_core.platform import TransactionResult
 
 
@@ -38,6 +39,8 @@
     :ivar method: HTTP method in upper case.
     :ivar credential: the key's identifier and digest, or None without a key.
     :ivar deadline: time after which the caller no longer waits, in microseconds.
+    :ivar operation: the caller's ``Idempotency-Key``, empty without one.
+    :ivar digest: digest of method, service, path and body, for operations.
     """
 
     req_id: str
@@ -45,6 +48,8 @@
     method: str
     credential: Credential | None
     deadline: int
+    operation: str = ""
+    digest: bytes = b""
 
 
 @frozen
@@ -75,11 +80,15 @@
 
 @frozen
 class AttemptEnded(Event):
-    """An attempt at a target is over and holds its slot no longer."""
+    """An attempt at a target is over and holds its slot no longer.
+
+    :ivar answer: the whole answer of an operation, if it is short.
+    """
 
     req_id: str
     attempt: int
     outcome: AttemptOutcome
+    answer: KeptAnswer | None = None
 
 
 @frozen
--- /dev/null
+++ b/packages/almondgap-core/almondgap_core/operations/books.py
@@ -0,0 +1,100 @@
+"""Books of operations: opening them, finding them and letting records go."""
+
+from __future__ import annotations
+
+from almondgap_core.events import Tick
+from almondgap_core.limits import leases
+from almondgap_core.limits.leases import HeldLease
+from almondgap_core.limits.partitions import Partition
+from almondgap_core.operations.decision import Decision
+from almondgap_core.operations.key import OperationPrefix
+from almondgap_core.operations.record import RETENTION_WINDOWS, WINDOW_US, Book
+from almondgap_core.operations.state import Takeover
+from almondgap_core.state import HostState
+from almondgap_core.units import MICROS_PER_SECOND
+
+#: Time for which a new holder waits for the books of earlier epochs.
+TAKEOVER_WAIT_US = 2 * MICROS_PER_SECOND
+
+#: Time between two sweeps over old records.
+SWEEP_INTERVAL_US = 5 * MICROS_PER_SECOND
+
+#: Time after which a book that moved here and is empty is of no use.
+INHERITED_US = (RETENTION_WINDOWS + 2) * WINDOW_US
+
+
+def find_book(
+    state: HostState, prefix: OperationPrefix, held: HeldLease, now: int
+) -> Book | Decision:
+    """Return the book that decides about a prefix, or why there is none.
+
+    :param held: this host's lease on the prefix's partition.
+    """
+    takeover = note_takeover(state, held, now)
+    name = (prefix.partition, prefix.epoch)
+    book = state.operations.books.get(name)
+    if book is not None:
+        return Decision.MOVING if book.sealed else book
+    if name in state.operations.given_away:
+        return Decision.MOVING
+    if prefix.epoch == held.epoch:
+        book = Book(prefix.partition, held.epoch, now)
+        state.operations.books[name] = book
+        return book
+    return Decision.MOVING if now < takeover.until else Decision.LOST
+
+
+def note_takeover(state: HostState, held: HeldLease, now: int) -> Takeover:
+    """Note that this host holds a partition; open what it kept for the holder."""
+    takeovers = state.operations.takeovers
+    known = takeovers.get(held.partition)
+    if known is not None and known.epoch == held.epoch:
+        return known
+    takeover = Takeover(held.epoch, now + TAKEOVER_WAIT_US)
+    takeovers[held.partition] = takeover
+    for (partition, epoch), book in state.operations.books.items():
+        if partition == held.partition and epoch < held.epoch and not book.bound_to:
+            book.sealed = False
+    return takeover
+
+
+def list_books(state: HostState, partition: Partition) -> list[Book]:
+    """Return this host's books of a partition."""
+    books = state.operations.books.values()
+    return [book for book in books if book.partition == partition]
+
+
+def handle_tick(state: HostState, event: Tick) -> None:
+    """Let go of records whose keys may no longer be used."""
+    operations = state.operations
+    if event.now < operations.next_sweep:
+        return
+    operations.next_sweep = event.now + SWEEP_INTERVAL_US
+    for name, book in list(operations.books.items()):
+        book.forget(event.now)
+        if _is_useless(state, book, event.now):
+            del operations.books[name]
+    operations.records = sum(book.count() for book in operations.books.values())
+    operations.answer_bytes = sum(map(_measure_answers, operations.books.values()))
+
+
+def _measure_answers(book: Book) -> int:
+    return sum(
+        len(record.answer.body)
+        for records in book.windows.values()
+        for record in records.values()
+        if record.answer is not None
+    )
+
+
+def _is_useless(state: HostState, book: Book, now: int) -> bool:
+    if book.count() or book.sealed and not book.bound_to:
+        return False
+    held = leases.find_held(state, book.partition, now)
+    if held is not None and held.epoch == book.epoch:
+        return False
+    takeover = state.operations.takeovers.get(book.partition)
+    return takeover is None or now > takeover.until + INHERITED_US
+
+
+EVENT_HANDLERS = {Tick: handle_tick}
--- /dev/null
+++ b/packages/almondgap-core/almondgap_core/operations/decision.py
@@ -0,0 +1,116 @@
+"""Decisions of a holder about one request, and the refusals that follow."""
+
+from __future__ import annotations
+
+from enum import Enum
+
+from almondgap_core.units import MICROS_PER_SECOND
+from almondgap_core.verdict import Reason, Refusal, Verdict
+
+
+class Decision(Enum):
+    """What a holder decides about a request with an operation key."""
+
+    GRANTED = "granted"
+    RUNNING = "running"
+    ANSWERED = "answered"
+    MAY_HAVE_RUN = "may-have-run"
+    MISMATCH = "mismatch"
+    LOST = "lost"
+    EXPIRED = "expired"
+    EXPIRED_UNUSED = "expired-unused"
+    NOT_MINTED = "not-minted"
+    EXHAUSTED = "exhausted"
+    FULL = "full"
+    MOVING = "moving"
+    ELSEWHERE = "elsewhere"
+
+
+#: Decisions after which the asker asks again.
+OPEN_DECISIONS = frozenset({Decision.RUNNING, Decision.MOVING, Decision.ELSEWHERE})
+
+_NOT_RUN = Verdict.NOT_RUN
+_DOUBT = Verdict.MAY_HAVE_RUN
+
+_REFUSALS = {
+    Decision.MAY_HAVE_RUN: Refusal(
+        409,
+        Reason.OPERATION_UNKNOWN,
+        _DOUBT,
+        "The operation was sent to a target and its outcome is not known.",
+    ),
+    Decision.MISMATCH: Refusal(
+        422,
+        Reason.OPERATION_MISMATCH,
+        _NOT_RUN,
+        "The key was used with another request or client account; this one did not "
+        "run.",
+    ),
+    Decision.LOST: Refusal(
+        409,
+        Reason.OPERATION_LOST,
+        _DOUBT,
+        "The host that kept this operation's record is gone; use a new prefix for new "
+        "operations.",
+    ),
+    Decision.EXPIRED: Refusal(
+        409,
+        Reason.OPERATION_EXPIRED,
+        _DOUBT,
+        "The key is older than records are kept.",
+    ),
+    Decision.EXPIRED_UNUSED: Refusal(
+        409,
+        Reason.OPERATION_EXPIRED,
+        _NOT_RUN,
+        "The key is too old to be used, and was never used.",
+    ),
+    Decision.NOT_MINTED: Refusal(
+        422,
+        Reason.OPERATION_UNKNOWN,
+        _NOT_RUN,
+        "No look-up has handed out this prefix.",
+    ),
+    Decision.EXHAUSTED: Refusal(
+        409,
+        Reason.OPERATION_UNKNOWN,
+        _NOT_RUN,
+        "The operation failed before any target too often; use a new key.",
+    ),
+    Decision.FULL: Refusal(
+        503,
+        Reason.NO_CAPACITY,
+        _NOT_RUN,
+        "The holder keeps as many records as it can.",
+        MICROS_PER_SECOND,
+    ),
+}
+
+
+def describe(decision: Decision) -> Refusal:
+    """Return the refusal that follows from a closed decision.
+
+    :raises KeyError: the decision is no refusal.
+    """
+    return _REFUSALS[decision]
+
+
+def describe_ran(status: int) -> Refusal:
+    """Return the refusal for an operation that ran, whose answer is not kept."""
+    detail = f"The operation ran with status {status}; its answer is not kept."
+    return Refusal(409, Reason.OPERATION_UNKNOWN, Verdict.RAN, detail)
+
+
+def describe_unanswered() -> Refusal:
+    """Return the refusal when the holder was not heard before the deadline."""
+    detail = "The host that keeps this operation's record did not answer in time."
+    return Refusal(504, Reason.OPERATION_ELSEWHERE, _DOUBT, detail, MICROS_PER_SECOND)
+
+
+def describe_bare() -> Refusal:
+    """Return the refusal for a key that the caller minted alone."""
+    detail = (
+        "The Idempotency-Key has to start with the operation prefix of a look-up; "
+        "keys without one never run."
+    )
+    return Refusal(428, Reason.OPERATION_UNKNOWN, _NOT_RUN, detail)
--- /dev/null
+++ b/packages/almondgap-core/almondgap_core/operations/handover.py
@@ -0,0 +1,288 @@
+"""Hand-over: books move to the next holder, and only one host may go on with each."""
+
+from __future__ import annotations
+
+from almondgap_core.effects import LogEntry, SendMessage
+from almondgap_core.events import Tick
+from almondgap_core.exceptions import MessageError
+from almondgap_core.limits import leases
+from almondgap_core.limits.division import rank
+from almondgap_core.limits.partitions import Partition, list_partitions
+from almondgap_core.operations.books import list_books, note_takeover
+from almondgap_core.operations.messages import (
+    BooksAsk,
+    BooksOffer,
+    BookTaken,
+    CustodyAsk,
+    Page,
+    PageAsk,
+)
+from almondgap_core.operations.record import Book, pack_records, unpack_records
+from almondgap_core.operations.state import Fetch
+from almondgap_core.state import HostState
+from almondgap_core.units import MICROS_PER_MILLI, MICROS_PER_SECOND
+
+#: Time between two messages that ask for the same thing.
+RETRY_US = 250 * MICROS_PER_MILLI
+
+#: Time without a page after which a fetch is given up.
+FETCH_TRIES = 20
+
+#: Records of one page stay below this.
+PAGE_BYTES = 131_072
+
+#: A neighbour that was not heard for this long is not asked to keep a book.
+ALIVE_US = 5 * MICROS_PER_SECOND
+
+
+def move_books(state: HostState, now: int) -> int:
+    """Ask neighbours to keep this host's books; return how many are still here."""
+    operations = state.operations
+    if now >= operations.next_custody:
+        operations.next_custody = now + RETRY_US
+        for book in operations.books.values():
+            _ask_custody(state, book, now)
+    return len(operations.books)
+
+
+def handle_tick(state: HostState, event: Tick) -> None:
+    """Ask for the books of partitions that were taken, and for missing pages."""
+    if state.inventory is None:
+        return
+    for partition in list_partitions(state.inventory, state.failure_domain):
+        held = leases.find_held(state, partition, event.now)
+        if held is not None:
+            _ask_books(state, partition, note_takeover(state, held, event.now), event)
+    for name, fetch in list(state.operations.fetches.items()):
+        if event.now >= fetch.next_try:
+            _ask_page(state, name, fetch, event.now)
+
+
+def handle_books_ask(state: HostState, host: str, message: BooksAsk, now: int) -> None:
+    """Seal the books that the new holder needs, and offer them."""
+    listed = state.members.listed.get(host)
+    if listed is not None and listed.failure_domain != message.failure_domain:
+        return
+    partition = Partition(message.failure_domain, message.index)
+    epochs = []
+    for book in list_books(state, partition):
+        if book.epoch < message.taker_epoch and _bind(state, book, message.taker):
+            epochs.append(book.epoch)
+    if epochs:
+        offer = BooksOffer(message.failure_domain, message.index, tuple(epochs))
+        state.perform(SendMessage(host, offer))
+
+
+def handle_books_offer(state: HostState, host: str, message: BooksOffer, now: int):
+    """Begin to fetch what is offered."""
+    partition = Partition(message.failure_domain, message.index)
+    takeover = state.operations.takeovers.get(partition)
+    if takeover is None:
+        return
+    taker = _name_taker(state, str(takeover.epoch))
+    for epoch in message.epochs:
+        _begin_fetch(state, (partition, epoch), host, taker, now)
+
+
+def handle_custody_ask(state: HostState, host: str, message: CustodyAsk, now: int):
+    """Begin to fetch a book that another host wants kept while it stops."""
+    keeper = _name_taker(state, "keep")
+    if message.taker != keeper or state.stopping:
+        return
+    name = (Partition(message.failure_domain, message.index), message.epoch)
+    if name in state.operations.books:
+        state.perform(SendMessage(host, _make_taken(name, keeper)))
+        return
+    _begin_fetch(state, name, host, keeper, now)
+
+
+def handle_page_ask(state: HostState, host: str, message: PageAsk, now: int) -> None:
+    """Send a page of a sealed book to the one host that may have it."""
+    partition = Partition(message.failure_domain, message.index)
+    book = state.operations.books.get((partition, message.epoch))
+    if book is None or not book.sealed or book.bound_to != message.taker:
+        return
+    if not message.taker.startswith(f"{host}/"):
+        return
+    state.perform(SendMessage(host, _make_page(book, message.start, now)))
+
+
+def handle_page(state: HostState, host: str, message: Page, now: int) -> None:
+    """Take in a page; open the book once it is whole."""
+    partition = Partition(message.failure_domain, message.index)
+    name = (partition, message.epoch)
+    fetch = state.operations.fetches.get(name)
+    if fetch is None or fetch.source != host or message.start != len(fetch.entries):
+        return
+    try:
+        fetch.entries.extend(unpack_records(message.records, now))
+    except MessageError as exc:
+        fields = (("peer", host), ("error", str(exc)))
+        state.perform(LogEntry("operation records refused", fields))
+        return
+    if len(fetch.entries) >= message.total:
+        _install(state, name, fetch, message, now)
+        return
+    fetch.tries = 0
+    _ask_page(state, name, fetch, now)
+
+
+def handle_book_taken(state: HostState, host: str, message: BookTaken, now: int):
+    """Forget a book that another host has now."""
+    name = (Partition(message.failure_domain, message.index), message.epoch)
+    book = state.operations.books.get(name)
+    if book is not None and book.sealed and book.bound_to == message.taker:
+        del state.operations.books[name]
+
+
+def _ask_books(state: HostState, partition: Partition, takeover, event: Tick) -> None:
+    if event.now >= takeover.until or event.now < takeover.next_try:
+        return
+    takeover.next_try = event.now + RETRY_US
+    taker = _name_taker(state, str(takeover.epoch))
+    ask = BooksAsk(partition.failure_domain, partition.index, takeover.epoch, taker)
+    for host in state.members.listed:
+        if host != state.host:
+            state.perform(SendMessage(host, ask))
+
+
+def _ask_custody(state: HostState, book: Book, now: int) -> None:
+    if not book.bound_to:
+        keeper = _choose_keeper(state, book.partition, now)
+        if keeper is None:
+            return
+        incarnation = state.members.peers[keeper].incarnation
+        _seal(state, book, f"{keeper}/{incarnation}/keep")
+    keeper = book.bound_to.partition("/")[0]
+    partition = book.partition
+    ask = CustodyAsk(
+        partition.failure_domain, partition.index, book.epoch, book.bound_to
+    )
+    state.perform(SendMessage(keeper, ask))
+
+
+def _choose_keeper(state: HostState, partition: Partition, now: int) -> str | None:
+    """Return the best live neighbour; one of the same failure domain first."""
+    alive = [
+        name
+        for name, peer in state.members.peers.items()
+        if not peer.stopping and now - peer.heard < ALIVE_US
+        if name in state.members.listed
+    ]
+    domain = partition.failure_domain
+    near = [n for n in alive if state.members.listed[n].failure_domain == domain]
+    hosts = near or alive
+    return rank(hosts, str(partition))[0] if hosts else None
+
+
+def _bind(state: HostState, book: Book, taker: str) -> bool:
+    if book.sealed and book.bound_to:
+        return book.bound_to == taker
+    _seal(state, book, taker)
+    return True
+
+
+def _seal(state: HostState, book: Book, taker: str) -> None:
+    book.sealed = True
+    book.bound_to = taker
+    state.operations.given_away[(book.partition, book.epoch)] = book.moves
+
+
+def _begin_fetch(state: HostState, name, source: str, taker: str, now: int) -> None:
+    operations = state.operations
+    if name in operations.books or name in operations.fetches:
+        return
+    fetch = Fetch(source, taker)
+    operations.fetches[name] = fetch
+    _ask_page(state, name, fetch, now)
+
+
+def _ask_page(state: HostState, name, fetch: Fetch, now: int) -> None:
+    fetch.tries += 1
+    if fetch.tries > FETCH_TRIES:
+        del state.operations.fetches[name]
+        return
+    fetch.next_try = now + RETRY_US
+    partition, epoch = name
+    ask = PageAsk(
+        partition.failure_domain,
+        partition.index,
+        epoch,
+        fetch.taker,
+        len(fetch.entries),
+    )
+    state.perform(SendMessage(fetch.source, ask))
+
+
+def _make_page(book: Book, start: int, now: int) -> Page:
+    entries = [
+        (window, unique, record)
+        for window, records in book.windows.items()
+        for unique, record in records.items()
+    ]
+    partition = book.partition
+    return Page(
+        partition.failure_domain,
+        partition.index,
+        book.epoch,
+        start,
+        len(entries),
+        now - book.opened,
+        book.moves,
+        book.forgotten,
+        pack_records(_cut_page(entries, start), now),
+    )
+
+
+def _cut_page(entries: list, start: int) -> list:
+    page = []
+    size = 0
+    for entry in entries[max(start, 0) :]:
+        answer = entry[2].answer
+        size += 256 + (len(answer.body) if answer else 0)
+        page.append(entry)
+        if size >= PAGE_BYTES:
+            break
+    return page
+
+
+def _install(state: HostState, name, fetch: Fetch, message: Page, now: int) -> None:
+    operations = state.operations
+    del operations.fetches[name]
+    moves = message.moves + 1
+    if name in operations.given_away and moves <= operations.given_away[name]:
+        return
+    partition, epoch = name
+    book = Book(partition, epoch, now - message.age, moves=moves)
+    book.forgotten = message.forgotten
+    for window, unique, record in fetch.entries:
+        book.windows.setdefault(window, {})[unique] = record
+    book.sealed = _is_kept_for_another(state, partition, fetch, now)
+    operations.books[name] = book
+    operations.given_away.pop(name, None)
+    state.perform(SendMessage(fetch.source, _make_taken(name, fetch.taker)))
+
+
+def _is_kept_for_another(state: HostState, partition, fetch: Fetch, now: int) -> bool:
+    held = leases.find_held(state, partition, now)
+    return fetch.taker.endswith("/keep") and held is None
+
+
+def _make_taken(name: tuple[Partition, int], taker: str) -> BookTaken:
+    partition, epoch = name
+    return BookTaken(partition.failure_domain, partition.index, epoch, taker)
+
+
+def _name_taker(state: HostState, purpose: str) -> str:
+    return f"{state.host}/{state.incarnation}/{purpose}"
+
+
+EVENT_HANDLERS = {Tick: handle_tick}
+MESSAGE_HANDLERS = {
+    BooksAsk: handle_books_ask,
+    BooksOffer: handle_books_offer,
+    CustodyAsk: handle_custody_ask,
+    PageAsk: handle_page_ask,
+    Page: handle_page,
+    BookTaken: handle_book_taken,
+}
--- /dev/null
+++ b/packages/almondgap-core/almondgap_core/operations/holder.py
@@ -0,0 +1,214 @@
+"""The holder's side: one permit for each operation, and what became of it."""
+
+from __future__ import annotations
+
+from attrs import frozen
+
+from almondgap_core.effects import SendMessage
+from almondgap_core.limits import leases
+from almondgap_core.operations.books import find_book
+from almondgap_core.operations.decision import Decision
+from almondgap_core.operations.key import OperationKey
+from almondgap_core.operations.messages import (
+    OutcomeNoted,
+    OutcomeReport,
+    PermitAnswer,
+    PermitAsk,
+)
+from almondgap_core.operations.record import (
+    MAX_RETURNED,
+    RETENTION_WINDOWS,
+    Book,
+    KeptAnswer,
+    OperationRecord,
+    Progress,
+)
+from almondgap_core.state import HostState
+from almondgap_core.units import MICROS_PER_SECOND
+from almondgap_core.verdict import Verdict
+
+#: Records that one host keeps; beyond it new operations are refused.
+MAX_RECORDS = 200_000
+
+#: Bytes of answers that one host keeps; beyond it only the status is kept.
+MAX_ANSWERS_BYTES = 33_554_432
+
+#: Longest answer that is kept.
+MAX_ANSWER_BYTES = 4_096
+
+#: Time after a permit's deadline at which its outcome counts as unknown.
+DOUBT_MARGIN_US = MICROS_PER_SECOND
+
+#: Longest deadline that a permit may claim.
+MAX_LEFT_US = 600 * MICROS_PER_SECOND
+
+#: Windows that a key may be ahead of a book that has just moved.
+WINDOW_SLACK = 1
+
+
+@frozen
+class Judgement:
+    """A decision and the record that it rests on."""
+
+    decision: Decision
+    record: OperationRecord | None = None
+
+
+@frozen
+class Candidate:
+    """A request that asks for an operation's permit.
+
+    :ivar asker: name of the request in the whole fleet.
+    :ivar left: time until its deadline, in microseconds.
+    """
+
+    key: OperationKey
+    account: str
+    digest: bytes
+    asker: str
+    left: int
+
+
+def judge(state: HostState, candidate: Candidate, now: int) -> Judgement:
+    """Decide whether a request may run its operation, and record a permit."""
+    prefix = candidate.key.prefix
+    held = leases.find_held(state, prefix.partition, now)
+    if held is None:
+        return Judgement(Decision.ELSEWHERE)
+    book = find_book(state, prefix, held, now)
+    if isinstance(book, Decision):
+        return Judgement(book)
+    record = book.find(prefix.window, candidate.key.unique)
+    if record is not None:
+        return _judge_known(state, book, record, candidate, now)
+    return _judge_new(state, book, candidate, now)
+
+
+def settle(
+    state: HostState,
+    key: OperationKey,
+    asker: str,
+    verdict: Verdict,
+    answer: KeptAnswer | None,
+    status: int,
+) -> bool:
+    """Note what became of a permit; return whether this host keeps the book."""
+    book = state.operations.books.get((key.prefix.partition, key.prefix.epoch))
+    if book is None or book.sealed:
+        return False
+    record = book.find(key.prefix.window, key.unique)
+    if record is None or record.asker != asker or record.progress is Progress.RAN:
+        return True
+    if verdict is Verdict.NOT_RUN:
+        record.progress = Progress.FREE
+        record.returned = (*record.returned, asker)
+        record.asker = ""
+    elif verdict is Verdict.MAY_HAVE_RUN:
+        record.progress = Progress.MAY_HAVE_RUN
+    else:
+        record.progress = Progress.RAN
+        record.status = status
+        _keep_answer(state, record, answer)
+    return True
+
+
+def handle_permit_ask(state: HostState, host: str, message: PermitAsk, now: int):
+    """Answer another host's request for a permit."""
+    key = OperationKey.from_text(message.key)
+    if key is None:
+        return
+    left = min(max(message.left, 0), MAX_LEFT_US)
+    asker = f"{host}/{message.asker}"
+    candidate = Candidate(key, message.account, message.digest, asker, left)
+    judgement = judge(state, candidate, now)
+    holder = leases.find_holder(state, key.prefix.partition) or ""
+    answer = _make_answer(message.asker, judgement, holder)
+    state.perform(SendMessage(host, answer))
+
+
+def handle_outcome_report(state: HostState, host: str, message: OutcomeReport, now):
+    """Note another host's outcome, and say so."""
+    key = OperationKey.from_text(message.key)
+    if key is None or message.verdict not in Verdict._value2member_map_:
+        return
+    answer = None
+    if message.has_answer:
+        answer = KeptAnswer(message.status, message.content_type, message.body)
+    asker = f"{host}/{message.asker}"
+    verdict = Verdict(message.verdict)
+    if settle(state, key, asker, verdict, answer, message.status):
+        state.perform(SendMessage(host, OutcomeNoted(message.asker)))
+
+
+def _judge_known(state, book: Book, record, candidate, now: int) -> Judgement:
+    same = (record.account, record.digest) == (candidate.account, candidate.digest)
+    if not same:
+        return Judgement(Decision.MISMATCH)
+    if record.progress is Progress.PERMITTED and now >= record.doubtful_at:
+        record.progress = Progress.MAY_HAVE_RUN
+    if record.progress is Progress.RAN:
+        return Judgement(Decision.ANSWERED, record)
+    if record.progress is Progress.MAY_HAVE_RUN:
+        return Judgement(Decision.MAY_HAVE_RUN)
+    if record.progress is Progress.PERMITTED:
+        mine = record.asker == candidate.asker
+        return Judgement(Decision.GRANTED if mine else Decision.RUNNING)
+    if _is_expired(book, candidate.key, now):
+        return Judgement(Decision.EXPIRED_UNUSED)
+    if candidate.asker in record.returned or len(record.returned) >= MAX_RETURNED:
+        return Judgement(Decision.EXHAUSTED)
+    return _grant(state, record, candidate, now)
+
+
+def _judge_new(state, book: Book, candidate, now: int) -> Judgement:
+    window = candidate.key.prefix.window
+    if window > book.find_window(now) + WINDOW_SLACK:
+        return Judgement(Decision.NOT_MINTED)
+    if _is_expired(book, candidate.key, now):
+        used = window <= book.forgotten
+        return Judgement(Decision.EXPIRED if used else Decision.EXPIRED_UNUSED)
+    if state.operations.records >= MAX_RECORDS:
+        return Judgement(Decision.FULL)
+    record = OperationRecord(candidate.account, candidate.digest)
+    book.windows.setdefault(window, {})[candidate.key.unique] = record
+    state.operations.records += 1
+    return _grant(state, record, candidate, now)
+
+
+def _grant(state: HostState, record, candidate: Candidate, now: int) -> Judgement:
+    record.progress = Progress.PERMITTED
+    record.asker = candidate.asker
+    record.permits += 1
+    record.doubtful_at = now + candidate.left + DOUBT_MARGIN_US
+    state.operations.granted += 1
+    return Judgement(Decision.GRANTED, record)
+
+
+def _is_expired(book: Book, key: OperationKey, now: int) -> bool:
+    return key.prefix.window < book.find_window(now) - RETENTION_WINDOWS
+
+
+def _keep_answer(state: HostState, record: OperationRecord, answer) -> None:
+    if answer is None or len(answer.body) > MAX_ANSWER_BYTES:
+        return
+    if state.operations.answer_bytes + len(answer.body) > MAX_ANSWERS_BYTES:
+        return
+    state.operations.answer_bytes += len(answer.body)
+    record.answer = answer
+
+
+def _make_answer(asker: str, judgement: Judgement, holder: str) -> PermitAnswer:
+    record = judgement.record
+    status = record.status if record else 0
+    answer = record.answer if record else None
+    if answer is None:
+        body = (False, "", b"")
+    else:
+        body = (True, answer.content_type, answer.body)
+    return PermitAnswer(asker, judgement.decision.value, status, *body, holder)
+
+
+MESSAGE_HANDLERS = {
+    PermitAsk: handle_permit_ask,
+    OutcomeReport: handle_outcome_report,
+}
--- a/packages/almondgap-core/almondgap_core/operations/state.py
+++ b/packages/almondgap-core/almondgap_core/operations/state.py
@@ -2,9 +2,112 @@
 
 from __future__ import annotations
 
-from attrs import define
+from attrs import Factory, define
+
+from almondgap_core.limits.partitions import Partition
+from almondgap_core.operations.key import OperationKey, OperationPrefix
+from almondgap_core.operations.messages import OutcomeReport
+from almondgap_core.operations.record import Book, OperationRecord
+
+
+@define
+class Ask:
+    """A request of this host that waits for the holder's decision, or has a permit.
+
+    :ivar asker: number of the request, unique over all runs of this host.
+    :ivar next_try: when to ask again, in microseconds.
+    :ivar permitted: whether the request has the permit.
+    """
+
+    key: OperationKey
+    account: str
+    digest: bytes
+    asker: str
+    deadline: int
+    next_try: int = 0
+    holder: str = ""
+    permitted: bool = False
+
+
+@define
+class Abandoned:
+    """A request that ended before the holder's decision came."""
+
+    key: OperationKey
+    ended: int
+
+
+@define
+class Report:
+    """An outcome that the holder has not confirmed yet."""
+
+    key: OperationKey
+    message: OutcomeReport
+    next_try: int
+    tries: int = 0
+
+
+@define
+class Hint:
+    """A prefix that another host holds, and when it said so."""
+
+    prefix: OperationPrefix
+    heard: int
+
+
+@define
+class Fetch:
+    """A book that this host is fetching.
+
+    :ivar source: host that sealed it.
+    :ivar taker: this host and its epoch, or that it keeps the book for another.
+    :ivar entries: records of the pages that came, with window and unique part.
+    """
+
+    source: str
+    taker: str
+    next_try: int = 0
+    tries: int = 0
+    entries: list[tuple[int, str, OperationRecord]] = Factory(list)
+
+
+@define
+class Takeover:
+    """This host took a partition and asks around for its earlier books.
+
+    :ivar until: when it stops waiting for books, in microseconds.
+    """
+
+    epoch: int
+    until: int
+    next_try: int = 0
 
 
 @define
 class OperationsState:
-    """Operations that this host answers for."""
+    """Operations that this host answers for or asks about.
+
+    :ivar books: by partition and epoch.
+    :ivar given_away: books that were sealed here, with their moves up to then.
+    :ivar asks: by request identifier.
+    :ivar abandoned: askers whose requests ended before a decision came.
+    :ivar reports: by asker.
+    :ivar answer_bytes: bytes of kept answers.
+    :ivar records: number of records in all books.
+    :ivar granted: permits given since this host started.
+    """
+
+    books: dict[tuple[Partition, int], Book] = Factory(dict)
+    given_away: dict[tuple[Partition, int], int] = Factory(dict)
+    asks: dict[str, Ask] = Factory(dict)
+    abandoned: dict[str, Abandoned] = Factory(dict)
+    reports: dict[str, Report] = Factory(dict)
+    hints: dict[Partition, Hint] = Factory(dict)
+    takeovers: dict[Partition, Takeover] = Factory(dict)
+    fetches: dict[tuple[Partition, int], Fetch] = Factory(dict)
+    next_offer: int = 0
+    next_sweep: int = 0
+    next_custody: int = 0
+    answer_bytes: int = 0
+    records: int = 0
+    granted: int = 0
--- a/packages/almondgap-core/almondgap_core/reducer.py
+++ b/packages/almondgap-core/almondgap_core/reducer.py
@@ -10,6 +10,7 @@
 from almondgap_core.limits import admission
 from almondgap_core.membership import heartbeats
 from almondgap_core.messages import Message
+from almondgap_core.operations import asking, books, handover, holder, minting
 from almondgap_core.requests import flow
 from almondgap_core.settings import rollout
 from almondgap_core.state import HostState
@@ -19,10 +20,21 @@
 MessageHandler = Callable[[HostState, str, Message, int], None]
 
 #: Modules that handle events, in the order in which they see the same event.
-EVENT_MODULES = (heartbeats, rollout, admission, targets, flow, lifecycle)
+EVENT_MODULES = (
+    heartbeats,
+    rollout,
+    books,
+    handover,
+    minting,
+    asking,
+    admission,
+    targets,
+    flow,
+    lifecycle,
+)
 
 #: Modules that handle messages from other hosts.
-MESSAGE_MODULES = (heartbeats,)
+MESSAGE_MODULES = (heartbeats, holder, asking, handover, minting)
 
 
 def _collect_event_handlers() -> dict[type[Event], tuple[EventHandler, ...]]:
--- a/packages/almondgap-core/almondgap_core/requests/flow.py
+++ b/packages/almondgap-core/almondgap_core/requests/flow.py
@@ -9,6 +9,7 @@
     Finished,
     Refuse,
     Relay,
+    Replay,
 )
 from almondgap_core.events import (
     AnswerStarted,
@@ -25,6 +26,13 @@
     SlotReleased,
 )
 from almondgap_core.keys.authorization import OPEN_ACCOUNT, authorize
+from almondgap_core.operations.events import (
+    OperationAnswered,
+    OperationAsked,
+    OperationEnded,
+    OperationGranted,
+    OperationRefused,
+)
 from almondgap_core.requests.record import RequestRecord, Stage
 from almondgap_core.settings.inventory import Service
 from almondgap_core.state import HostState
@@ -57,11 +65,33 @@
         return
     record = _open_record(event, service, account.name if account else OPEN_ACCOUNT)
     state.requests.open[event.req_id] = record
-    if account is None:
-        state.emit(RateGranted(event.now, event.req_id))
+    if record.operation:
+        _ask_operation(state, record, event)
     else:
-        ask = RateAsked(event.now, event.req_id, account.name, record.deadline)
-        state.emit(ask)
+        _ask_rate(state, record, event.now)
+
+
+def handle_operation_granted(state: HostState, event: OperationGranted) -> None:
+    """Go on: this request has its operation's one permit."""
+    record = state.requests.open.get(event.req_id)
+    if record is not None:
+        _ask_rate(state, record, event.now)
+
+
+def handle_operation_refused(state: HostState, event: OperationRefused) -> None:
+    """Tell the caller why its operation does not run now."""
+    record = state.requests.open.get(event.req_id)
+    if record is not None:
+        _refuse(state, record, event.refusal, event.now)
+
+
+def handle_operation_answered(state: HostState, event: OperationAnswered) -> None:
+    """Give the caller the operation's first answer."""
+    record = state.requests.open.pop(event.req_id, None)
+    if record is None:
+        return
+    state.perform(Replay(record.req_id, event.answer))
+    _record_end(state, record, event.answer.status, Verdict.RAN, event.now)
 
 
 def handle_rate_granted(state: HostState, event: RateGranted) -> None:
@@ -122,8 +152,8 @@
         return
     record.stage = Stage.ANSWERING
     record.status = event.status
-    verdict = Verdict.NOT_RUN if shed else Verdict.RAN
-    state.perform(Relay(record.req_id, record.attempt, verdict))
+    record.verdict = Verdict.NOT_RUN if shed else Verdict.RAN
+    state.perform(Relay(record.req_id, record.attempt, record.verdict))
 
 
 def handle_attempt_ended(state: HostState, event: AttemptEnded) -> None:
@@ -177,7 +207,31 @@
         idempotent=event.method in IDEMPOTENT_METHODS,
         arrived=event.now,
         deadline=min(event.deadline, event.now + service.deadline),
+        operation="" if event.method in IDEMPOTENT_METHODS else event.operation,
+    )
+
+
+def _ask_operation(
+    state: HostState, record: RequestRecord, event: RequestArrived
+) -> None:
+    record.stage = Stage.OPERATION
+    ask = OperationAsked(
+        event.now,
+        record.req_id,
+        record.operation,
+        record.account,
+        event.digest,
+        record.deadline,
     )
+    state.emit(ask)
+
+
+def _ask_rate(state: HostState, record: RequestRecord, now: int) -> None:
+    record.stage = Stage.RATE
+    if record.account == OPEN_ACCOUNT:
+        state.emit(RateGranted(now, record.req_id))
+        return
+    state.emit(RateAsked(now, record.req_id, record.account, record.deadline))
 
 
 def _ask_slot(state: HostState, record: RequestRecord, now: int) -> None:
@@ -214,8 +268,9 @@
 ) -> None:
     if event.outcome is not AttemptOutcome.COMPLETE:
         state.perform(CutAnswer(record.req_id))
+    record.answer = event.answer
     del state.requests.open[record.req_id]
-    _record_end(state, record, record.status, Verdict.RAN, event.now)
+    _record_end(state, record, record.status, record.verdict, event.now)
 
 
 def _describe_failure(record: RequestRecord, outcome: AttemptOutcome) -> Refusal:
@@ -247,6 +302,9 @@
 
 
 def _record_end(state, record: RequestRecord, status, verdict, now: int) -> None:
+    if record.operation:
+        ended = OperationEnded(now, record.req_id, status, verdict, record.answer)
+        state.emit(ended)
     elapsed = now - record.arrived
     end = Finished(
         record.req_id, record.account, record.service, status, verdict, elapsed
@@ -259,6 +317,9 @@
     CallerGone: handle_caller_gone,
     AnswerStarted: handle_answer_started,
     AttemptEnded: handle_attempt_ended,
+    OperationGranted: handle_operation_granted,
+    OperationRefused: handle_operation_refused,
+    OperationAnswered: handle_operation_answered,
     RateGranted: handle_rate_granted,
     RateRefused: handle_rate_refused,
     SlotGranted: handle_slot_granted,
--- a/packages/almondgap-core/almondgap_core/requests/record.py
+++ b/packages/almondgap-core/almondgap_core/requests/record.py
@@ -6,10 +6,14 @@
 
 from attrs import define
 
+from almondgap_core.operations.record import KeptAnswer
+from almondgap_core.verdict import Verdict
+
 
 class Stage(Enum):
     """How far a request has come."""
 
+    OPERATION = "operation"
     RATE = "rate"
     SLOT = "slot"
     RUNNING = "running"
@@ -26,6 +30,9 @@
     :ivar target: target of the latest attempt.
     :ivar tried: targets that failed.
     :ivar status: status of the answer that is being relayed.
+    :ivar verdict: verdict of the answer that is being relayed.
+    :ivar operation: the caller's ``Idempotency-Key``, empty without one.
+    :ivar answer: the operation's answer, if it came whole and is short.
     """
 
     req_id: str
@@ -39,3 +46,6 @@
     target: str = ""
     tried: tuple[str, ...] = ()
     status: int = 0
+    verdict: Verdict = Verdict.RAN
+    operation: str = ""
+    answer: KeptAnswer | None = None
--- a/packages/almondgap-core/almondgap_core/steering/lookup.py
+++ b/packages/almondgap-core/almondgap_core/steering/lookup.py
@@ -4,6 +4,7 @@
 
 from attrs import frozen
 
+from almondgap_core.operations.minting import mint_prefix
 from almondgap_core.state import HostState
 from almondgap_core.steering.targets import list_owned_targets
 
@@ -24,12 +25,15 @@
 
     :ivar hosts: entry hosts, best first.
     :ivar ttl: seconds for which the caller may keep the answer.
+    :ivar operation_prefix: start of the caller's ``Idempotency-Key`` values, empty
+        if no host is known that would answer for them.
     """
 
     service: str
     version: int
     hosts: tuple[EntryHost, ...]
     ttl: int
+    operation_prefix: str = ""
 
 
 def look_up(state: HostState, service: str, now: int) -> LookupAnswer:
@@ -40,6 +44,7 @@
     hosts = tuple(
         EntryHost(entry.name, entry.address, entry.caller_port, 1) for entry in entries
     )
+    prefix = mint_prefix(state, now)
     return LookupAnswer(
-        service, state.settings.version, hosts, state.inventory.lookup_ttl
+        service, state.settings.version, hosts, state.inventory.lookup_ttl, prefix
     )
--- a/packages/almondgap-daemon/almondgap_daemon/attempt.py
+++ b/packages/almondgap-daemon/almondgap_daemon/attempt.py
@@ -11,10 +11,13 @@
 
 from almondgap_core.effects import Dispatch
 from almondgap_core.events import AttemptOutcome
+from almondgap_core.operations.holder import MAX_ANSWER_BYTES
+from almondgap_core.operations.record import KeptAnswer
 from almondgap_core.units import MICROS_PER_MILLI, MICROS_PER_SECOND
 from almondgap_daemon.headers import (
     ACCOUNT_HEADER,
     DEADLINE_HEADER,
+    OPERATION_HEADER,
     REQUEST_HEADER,
     copy_request_headers,
 )
@@ -34,6 +37,7 @@
         self.relaying = False
         self.over = False
         self.timed_out = False
+        self._kept: bytearray | None = None
         self._sending = None
         self._body: AnswerBody | None = None
         self._timer = None
@@ -60,9 +64,27 @@
     def relay(self, request) -> None:
         """Pass the answer's body on to the caller."""
         self.relaying = True
+        if request.getHeader(OPERATION_HEADER) is not None:
+            self._kept = bytearray()
         self._body = AnswerBody(self, request)
         self.response.original.deliverBody(self._body)
 
+    @property
+    def kept(self) -> KeptAnswer | None:
+        """The whole answer, if it belongs to an operation and is short."""
+        if self._kept is None or self.response is None:
+            return None
+        names = self.response.headers.getRawHeaders("content-type", [""])
+        return KeptAnswer(self.response.code, names[0], bytes(self._kept))
+
+    def keep(self, data: bytes) -> None:
+        """Keep a part of the answer, unless it grows too long."""
+        if self._kept is None:
+            return
+        self._kept += data
+        if len(self._kept) > MAX_ANSWER_BYTES:
+            self._kept = None
+
     def cancel(self) -> None:
         """Give up, and close the connection so that the target learns of it."""
         if self.over:
@@ -134,6 +156,7 @@
     def dataReceived(self, data: bytes) -> None:
         """Pass a part on."""
         if not self.attempt.over:
+            self.attempt.keep(data)
             self.request.write(data)
 
     def connectionLost(self, reason) -> None:
--- a/packages/almondgap-daemon/almondgap_daemon/callers.py
+++ b/packages/almondgap-daemon/almondgap_daemon/callers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import hashlib
 import io
 import json
 
@@ -16,7 +17,7 @@
 from almondgap_core.units import seconds
 from almondgap_core.verdict import Reason, Refusal, Verdict
 from almondgap_daemon.exchange import Exchange, write_refusal
-from almondgap_daemon.headers import KEY_HEADER
+from almondgap_daemon.headers import KEY_HEADER, OPERATION_HEADER
 
 #: Longest time that a caller can ask a request to take, in seconds.
 MAX_CALL_S = 600
@@ -24,6 +25,7 @@
 CONNECT_TIMEOUT_S = 1.0
 CONNECTIONS_PER_TARGET = 32
 CALL_PREFIX = b"/v1/call/"
+DIGEST_BYTES = 16
 
 
 class CallerRequest(Request):
@@ -98,6 +100,8 @@
             request.method.decode(),
             Credential.from_key(key, self.pepper) if key is not None else None,
             now + seconds(MAX_CALL_S),
+            operation=request.getHeader(OPERATION_HEADER) or "",
+            digest=_compute_digest(request),
         )
         path = request.uri[len(CALL_PREFIX) + len(service.encode()) :]
         exchange = Exchange(self.node, self.http, request, arrival.req_id, path)
@@ -112,6 +116,17 @@
         return b""
 
 
+def _compute_digest(request) -> bytes:
+    """Return the digest by which a repeat of an operation is known."""
+    if request.getHeader(OPERATION_HEADER) is None:
+        return b""
+    digest = hashlib.blake2b(digest_size=DIGEST_BYTES)
+    for part in (request.method, request.uri):
+        digest.update(len(part).to_bytes(4, "big") + part)
+    digest.update(request.content.getvalue())
+    return digest.digest()
+
+
 def dump_lookup(answer: LookupAnswer) -> bytes:
     """Return the JSON body of a look-up's answer."""
     return json.dumps(asdict(answer)).encode() + b"\n"
--- a/packages/almondgap-daemon/almondgap_daemon/exchange.py
+++ b/packages/almondgap-daemon/almondgap_daemon/exchange.py
@@ -14,6 +14,7 @@
     CallerGone,
     RequestArrived,
 )
+from almondgap_core.operations.record import KeptAnswer
 from almondgap_core.units import MICROS_PER_MILLI, MICROS_PER_SECOND
 from almondgap_core.verdict import VERDICT_HEADER, Refusal, Verdict
 from almondgap_daemon.attempt import Attempt
@@ -53,6 +54,8 @@
                 self._cancel(effect.attempt)
             case effects.Refuse():
                 self._refuse(effect.refusal)
+            case effects.Replay():
+                self._replay(effect.answer)
             case effects.CutAnswer():
                 self.request.transport.abortConnection()
                 self._close()
@@ -66,7 +69,9 @@
         """Report the end of an attempt."""
         number = attempt.effect.attempt
         relayed = attempt is self.attempt and attempt.relaying
-        self.node.feed(AttemptEnded(self.node.now(), self.req_id, number, outcome))
+        answer = attempt.kept if outcome is AttemptOutcome.COMPLETE else None
+        now = self.node.now()
+        self.node.feed(AttemptEnded(now, self.req_id, number, outcome, answer))
         if relayed and outcome is AttemptOutcome.COMPLETE:
             self._close()
 
@@ -91,6 +96,16 @@
         write_refusal(self.request, refusal, self.req_id)
         self._close()
 
+    def _replay(self, answer: KeptAnswer) -> None:
+        self.request.setResponseCode(answer.status)
+        self._mark(Verdict.RAN)
+        headers = self.request.responseHeaders
+        if answer.content_type:
+            headers.setRawHeaders("Content-Type", [answer.content_type])
+        headers.setRawHeaders("Content-Length", [str(len(answer.body))])
+        self.request.write(answer.body)
+        self._close()
+
     def _mark(self, verdict: Verdict) -> None:
         mark(self.request, verdict, self.req_id)
 
--- a/packages/almondgap-daemon/almondgap_daemon/headers.py
+++ b/packages/almondgap-daemon/almondgap_daemon/headers.py
@@ -5,6 +5,7 @@
 from twisted.web.http_headers import Headers
 
 KEY_HEADER = "Almondgap-Key"
+OPERATION_HEADER = "Idempotency-Key"
 REQUEST_HEADER = "Almondgap-Request"
 ACCOUNT_HEADER = "Almondgap-Account"
 DEADLINE_HEADER = "Almondgap-Deadline-Ms"
--- a/packages/almondgap-daemon/almondgap_daemon/node.py
+++ b/packages/almondgap-daemon/almondgap_daemon/node.py
@@ -80,7 +80,7 @@
                 self.links.send(effect.host, effect.message)
             case effects.Dispatch() | effects.Relay() | effects.CancelAttempt():
                 self._tell_exchange(effect)
-            case effects.Refuse() | effects.CutAnswer():
+            case effects.Refuse() | effects.Replay() | effects.CutAnswer():
                 self._tell_exchange(effect)
             case effects.Finished():
                 self.metrics.record(effect)
--- /dev/null
+++ b/packages/almondgap-testkit/almondgap_testkit/fakes/leases.py
@@ -0,0 +1,78 @@
+"""Leases by decree: a test says who holds which partition, and who is mistaken."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from contextlib import contextmanager
+from unittest import mock
+
+from attrs import Factory, define, frozen
+
+from almondgap_core.limits import leases
+from almondgap_core.limits.leases import HeldLease
+from almondgap_core.limits.partitions import Partition
+from almondgap_core.state import HostState
+
+
+@frozen
+class Tenure:
+    """One host's time as the holder of a partition."""
+
+    host: str
+    epoch: int
+
+
+@define
+class FakeLeases:
+    """Who holds each partition.
+
+    :ivar mistaken: tenures that hosts still believe in although they are over.
+    """
+
+    tenures: dict[Partition, Tenure] = Factory(dict)
+    mistaken: set[tuple[Partition, Tenure]] = Factory(set)
+    last_epoch: int = 0
+
+    def give(self, partition: Partition, host: str | None) -> None:
+        """Let a host hold a partition at a new epoch, or nobody."""
+        self.last_epoch += 1
+        if host is None:
+            self.tenures.pop(partition, None)
+        else:
+            self.tenures[partition] = Tenure(host, self.last_epoch)
+
+    def mislead(self, partition: Partition) -> None:
+        """Let the present holder believe in its tenure for ever."""
+        self.mistaken.add((partition, self.tenures[partition]))
+
+    def forgive(self, host: str) -> None:
+        """Let a host believe nothing any more: it is gone."""
+        self.mistaken = {(p, t) for p, t in self.mistaken if t.host != host}
+
+    def list_held(self, host: str) -> list[Partition]:
+        """Return the partitions that a host holds."""
+        return [p for p, tenure in self.tenures.items() if tenure.host == host]
+
+    def find_held(self, state: HostState, partition: Partition, now: int):
+        """Stand for :func:`almondgap_core.limits.leases.find_held`."""
+        for place, tenure in self.mistaken:
+            if place == partition and tenure.host == state.host:
+                return HeldLease(partition, tenure.epoch)
+        tenure = self.tenures.get(partition)
+        if tenure is None or tenure.host != state.host:
+            return None
+        return HeldLease(partition, tenure.epoch)
+
+    def find_holder(self, state: HostState, partition: Partition) -> str | None:
+        """Stand for :func:`almondgap_core.limits.leases.find_holder`."""
+        tenure = self.tenures.get(partition)
+        return tenure.host if tenure else None
+
+    @contextmanager
+    def in_force(self) -> Iterator[None]:
+        """Let operations ask this object instead of the real leases."""
+        with (
+            mock.patch.object(leases, "find_held", self.find_held),
+            mock.patch.object(leases, "find_holder", self.find_holder),
+        ):
+            yield
--- /dev/null
+++ b/packages/almondgap-testkit/almondgap_testkit/fakes/payments.py
@@ -0,0 +1,151 @@
+"""A fleet that runs payments: operations that must run at most once."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Iterator
+from contextlib import contextmanager
+
+from attrs import evolve
+
+from almondgap_core.limits.partitions import list_partitions
+from almondgap_core.operations.minting import mint_prefix
+from almondgap_core.units import seconds
+from almondgap_core.verdict import Verdict
+from almondgap_testkit.builders import build_document
+from almondgap_testkit.fakes.leases import FakeLeases
+from almondgap_testkit.fakes.world import FakeAnswer, World
+
+HOSTS = {"a-1": "a", "a-2": "a", "a-3": "a", "b-1": "b", "b-2": "b"}
+TARGETS_PER_DOMAIN = 12
+SERVICE = "shop"
+ACCOUNT = "one"
+
+
+def build_payment_text(slots: int = 50) -> str:
+    """Return an inventory with targets everywhere and room for any rate."""
+    document = build_document()
+    document["services"][SERVICE]["targets"] = [
+        {
+            "name": f"shop-{domain}-{number}",
+            "failure_domain": domain,
+            "address": "127.0.0.1",
+            "port": 9000 + number,
+            "slots": slots,
+            "connections": 100,
+        }
+        for domain in ("a", "b")
+        for number in range(TARGETS_PER_DOMAIN)
+    ]
+    document["accounts"][ACCOUNT].update(rate_per_s=100_000, burst=100_000)
+    return json.dumps(document)
+
+
+class Payments:
+    """A world, its leases, and what callers know of their operations.
+
+    :ivar sent: keys of operations by label.
+    """
+
+    def __init__(self, seed: int = 1, hosts: dict[str, str] | None = None) -> None:
+        self.hosts = hosts or HOSTS
+        self.leases = FakeLeases()
+        self.world = World(build_payment_text(), self.hosts, seed)
+        self.sent: dict[str, str] = {}
+        inventory = self.world.inventory
+        for domain in sorted(set(self.hosts.values())):
+            near = sorted(h for h, d in self.hosts.items() if d == domain)
+            for number, partition in enumerate(list_partitions(inventory, domain)):
+                self.leases.give(partition, near[number % len(near)])
+
+    @classmethod
+    @contextmanager
+    def begin(cls, seed: int = 1, hosts=None) -> Iterator[Payments]:
+        """Yield a fleet that serves."""
+        payments = cls(seed, hosts)
+        with payments.leases.in_force():
+            payments.run(3)
+            yield payments
+
+    def run(self, duration_s: float) -> None:
+        """Let seconds pass."""
+        self.world.run(seconds(duration_s))
+
+    def look_up(self, host: str) -> str:
+        """Return the operation prefix that a host hands out."""
+        return mint_prefix(self.world.hosts[host].state, self.world.read_clock(host))
+
+    def pay(self, host: str, key: str, label: str, digest: bytes = b"d") -> str:
+        """Send an operation and return the request's identifier."""
+        return self.world.call(
+            host, SERVICE, ACCOUNT, "POST", label, operation=key, digest=digest
+        )
+
+    def begin_payment(self, host: str, label: str, entry: str | None = None) -> str:
+        """Look up at ``host`` and send a new operation to ``entry``."""
+        self.sent[label] = f"{self.look_up(host)}.{label}"
+        return self.pay(entry or host, self.sent[label], label)
+
+    def repeat(self, host: str, label: str) -> str:
+        """Send a known operation again."""
+        return self.pay(host, self.sent[label], label)
+
+    def answer(self, req_id: str) -> FakeAnswer:
+        """Return what a caller got."""
+        return self.world.answers[req_id]
+
+    def count_runs(self, label: str) -> int:
+        """Return how often targets ran an operation."""
+        return sum(t.ran.get(label, 0) for t in self.world.targets.values())
+
+    def count_greatest_runs(self) -> int:
+        """Return the greatest number of runs of any operation."""
+        labels = {label for t in self.world.targets.values() for label in t.ran}
+        return max(map(self.count_runs, labels), default=0)
+
+    def list_false_verdicts(self) -> list[str]:
+        """Return requests that were told "not run" of an operation that ran."""
+        return [
+            req_id
+            for req_id, answer in self.world.answers.items()
+            if answer.verdict is Verdict.NOT_RUN
+            and self.count_runs(self.world.labels[req_id])
+        ]
+
+    def crash(self, host: str) -> None:
+        """End a host at once; a neighbour takes its partitions over."""
+        self.world.crash(host)
+        self.leases.forgive(host)
+        self._unlist(host)
+        self.take_over(host)
+
+    def take_over(self, host: str) -> None:
+        """Let neighbours take what a host holds, at new epochs."""
+        domain = self.hosts[host]
+        near = [
+            name
+            for name, place in self.hosts.items()
+            if place == domain and name != host and self.world.hosts[name].state
+        ]
+        for number, partition in enumerate(self.leases.list_held(host)):
+            heir = near[number % len(near)] if near else None
+            self.leases.give(partition, heir)
+
+    def restart(self, host: str) -> None:
+        """Start a host again; it takes free partitions of its failure domain."""
+        self.world.start(host)
+        entry = self.world.hosts[host].entry
+        self.world.listed = (*self.world.listed, entry)
+        for partition in list_partitions(self.world.inventory, self.hosts[host]):
+            if partition not in self.leases.tenures:
+                self.leases.give(partition, host)
+
+    def mark_leaving(self, host: str) -> None:
+        """Let the platform say that a host leaves."""
+        self.world.listed = tuple(
+            evolve(entry, leaving=True) if entry.name == host else entry
+            for entry in self.world.listed
+        )
+
+    def _unlist(self, host: str) -> None:
+        self.world.listed = tuple(e for e in self.world.listed if e.name != host)
--- a/packages/almondgap-testkit/almondgap_testkit/fakes/world.py
+++ b/packages/almondgap-testkit/almondgap_testkit/fakes/world.py
@@ -10,6 +10,7 @@
 from almondgap_core import effects, events
 from almondgap_core.keys.credential import Credential
 from almondgap_core.messages import decode, encode
+from almondgap_core.operations.record import KeptAnswer
 from almondgap_core.platform import (
     Transaction,
     compute_object_name,
@@ -38,6 +39,7 @@
     """What a caller got.
 
     :ivar status: 0 while there is no answer, or if it was cut.
+    :ivar replayed: the first answer of an operation that ran before.
     """
 
     host: str
@@ -48,6 +50,7 @@
     verdict: Verdict | None = None
     refusal: Refusal | None = None
     cut: bool = False
+    replayed: KeptAnswer | None = None
 
 
 @define
@@ -243,6 +246,9 @@
                 answer = self.answers[effect.req_id]
                 answer.refusal = effect.refusal
                 answer.verdict = effect.refusal.verdict
+            case effects.Replay():
+                self.answers[effect.req_id].verdict = Verdict.RAN
+                self.answers[effect.req_id].replayed = effect.answer
             case effects.CutAnswer():
                 self.answers[effect.req_id].cut = True
             case effects.Finished():
@@ -317,7 +323,8 @@
             if isinstance(progress, int):
                 self._feed(name, events.AnswerStarted(now, *key, progress))
             else:
-                self._feed(name, events.AttemptEnded(now, *key, progress))
+                answer = self._keep_answer(effect, target, progress)
+                self._feed(name, events.AttemptEnded(now, *key, progress, answer))
 
         if self.network.is_cut(here, there):
             report(events.AttemptOutcome.NOT_SENT)
@@ -327,6 +334,13 @@
         self.clock.call_later(delay, lambda: target.run(label, report))
         self._arm_deadline(name, state, effect)
 
+    def _keep_answer(self, effect: effects.Dispatch, target: FakeTarget, outcome):
+        if outcome is not events.AttemptOutcome.COMPLETE or target.shed:
+            return None
+        label = self.labels[effect.req_id]
+        body = f"{label} {target.ran.get(label, 0)}".encode()
+        return KeptAnswer(target.status, "text/plain", body)
+
     def _arm_deadline(self, name: str, state, effect: effects.Dispatch) -> None:
         def give_up() -> None:
             now = self.read_clock(name)
