Keep and replay the events that a host was fed

Cause: a failed run under faults has to be read afterwards, step by step.

The world keeps a log for each run of a host and a list of all attempts.

Before: a run left no trace.

Conclusion: replay needs nothing but the log, since the reducer has no other input.

--- /dev/null
+++ b/packages/almondgap-core/almondgap_core/eventlog.py
@@ -0,0 +1,131 @@
+"""Event logs: what a host's reducer was fed, as lines of JSON.
+
+The first line names the run of the host; every other line is one event. Feeding the
+events of a log to a new state gives the same effects again.
+"""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Iterable
+from enum import Enum
+from typing import Any
+
+import attrs
+from attrs import Factory, define
+
+from almondgap_core import events
+from almondgap_core.exceptions import UserError
+from almondgap_core.keys.credential import Credential
+from almondgap_core.messages import Message, decode, encode
+from almondgap_core.platform import Row, TransactionOutcome, TransactionResult
+from almondgap_core.state import HostState
+
+_TYPE = "$type"
+_BYTES = "$bytes"
+_MESSAGE = "$message"
+
+#: Classes besides events that may stand in a log.
+_PARTS = (
+    Credential,
+    Row,
+    TransactionResult,
+    TransactionOutcome,
+    events.HostEntry,
+    events.AttemptOutcome,
+)
+
+
+@define
+class EventLog:
+    """The events of one run of a host.
+
+    :ivar seed: first state of the pseudo-random sequence.
+    """
+
+    host: str
+    failure_domain: str
+    incarnation: int
+    seed: int
+    events: list[events.Event] = Factory(list)
+
+    def make_state(self) -> HostState:
+        """Return the state with which the run began."""
+        return HostState(
+            self.host, self.failure_domain, self.incarnation, seed=self.seed
+        )
+
+    def to_lines(self) -> Iterable[str]:
+        """Yield the lines of the log."""
+        head = {
+            "host": self.host,
+            "failure_domain": self.failure_domain,
+            "incarnation": self.incarnation,
+            "seed": self.seed,
+        }
+        yield json.dumps(head)
+        for event in self.events:
+            yield json.dumps(_dump(event))
+
+    @classmethod
+    def from_lines(cls, lines: Iterable[str], source: str) -> EventLog:
+        """Return the log in some lines.
+
+        :raises UserError: a line cannot be read; names it.
+        """
+        log: EventLog | None = None
+        classes = _collect_classes()
+        for number, line in enumerate(lines, start=1):
+            try:
+                node = json.loads(line)
+                if log is None:
+                    log = cls(**node)
+                else:
+                    log.events.append(_load(node, classes))
+            except (ValueError, TypeError, KeyError) as exc:
+                raise UserError(f"{source}: line {number}: {exc!r}") from exc
+        if log is None:
+            raise UserError(f"{source}: the log is empty")
+        return log
+
+
+def _collect_classes() -> dict[str, type]:
+    classes = {cls.__name__: cls for cls in _PARTS}
+    waiting = [events.Event]
+    while waiting:
+        cls = waiting.pop()
+        classes[cls.__name__] = cls
+        waiting.extend(cls.__subclasses__())
+    return classes
+
+
+def _dump(value: Any) -> Any:
+    if isinstance(value, Message):
+        return {_MESSAGE: encode(value).hex()}
+    if isinstance(value, bytes):
+        return {_BYTES: value.hex()}
+    if isinstance(value, Enum):
+        return {_TYPE: type(value).__name__, "value": value.value}
+    if isinstance(value, tuple):
+        return [_dump(item) for item in value]
+    if attrs.has(type(value)):
+        node = {_TYPE: type(value).__name__}
+        for field in attrs.fields(type(value)):
+            node[field.name] = _dump(getattr(value, field.name))
+        return node
+    return value
+
+
+def _load(node: Any, classes: dict[str, type]) -> Any:
+    if isinstance(node, list):
+        return tuple(_load(item, classes) for item in node)
+    if not isinstance(node, dict):
+        return node
+    if _MESSAGE in node:
+        return decode(bytes.fromhex(node[_MESSAGE]))
+    if _BYTES in node:
+        return bytes.fromhex(node[_BYTES])
+    cls = classes[node.pop(_TYPE)]
+    if issubclass(cls, Enum):
+        return cls(node["value"])
+    return cls(**{name: _load(value, classes) for name, value in node.items()})
--- a/packages/almondgap-testkit/almondgap_testkit/fakes/world.py
+++ b/packages/almondgap-testkit/almondgap_testkit/fakes/world.py
@@ -5,9 +5,10 @@
 import random
 from collections.abc import Callable
 
-from attrs import Factory, define
+from attrs import Factory, define, frozen
 
 from almondgap_core import effects, events
+from almondgap_core.eventlog import EventLog
 from almondgap_core.keys.credential import Credential
 from almondgap_core.messages import decode, encode
 from almondgap_core.platform import (
@@ -50,12 +51,28 @@
     cut: bool = False
 
 
+@frozen
+class Attempted:
+    """One attempt that a host began.
+
+    :ivar at: time of the world, in microseconds.
+    """
+
+    at: int
+    host: str
+    req_id: str
+    attempt: int
+    account: str
+    target: str
+
+
 @define
 class FakeHost:
     """One reducer, its clock and whether it runs.
 
     :ivar offset: its monotonic clock minus the world's, in microseconds.
     :ivar inbox: what waits while the host is paused.
+    :ivar log: what this run of the host was fed, if events are kept.
     """
 
     entry: events.HostEntry
@@ -63,17 +80,20 @@
     offset: int
     paused: bool = False
     inbox: list[Callable[[], None]] = Factory(list)
-    log: list[events.Event] = Factory(list)
+    log: EventLog | None = None
 
 
 class World:
     """Everything that one run needs.
 
     :ivar answers: what callers got, by request identifier.
+    :ivar attempted: all attempts, in the order in which hosts began them.
     :ivar keep_events: whether hosts' events are kept for replay.
     """
 
-    def __init__(self, text: str, hosts: dict[str, str], seed: int = 1) -> None:
+    def __init__(
+        self, text: str, hosts: dict[str, str], seed: int = 1, keep_events: bool = False
+    ) -> None:
         """Make a world that stands still.
 
         :param text: text of the inventory.
@@ -90,7 +110,8 @@
         self.hosts: dict[str, FakeHost] = {}
         self.answers: dict[str, FakeAnswer] = {}
         self.labels: dict[str, str] = {}
-        self.keep_events = False
+        self.attempted: list[Attempted] = []
+        self.keep_events = keep_events
         self.listed: tuple[events.HostEntry, ...] = ()
         self._incarnations = 0
         self.apply(text)
@@ -127,6 +148,7 @@
         seed = self.rng.getrandbits(60)
         state = HostState(name, domain, self._incarnations, seed=seed)
         host.state = state
+        host.log = EventLog(name, domain, self._incarnations, seed)
         host.paused = False
         host.inbox.clear()
         self._tick(name, state)
@@ -205,7 +227,7 @@
     def _feed(self, name: str, event: events.Event) -> None:
         host = self.hosts[name]
         if self.keep_events:
-            host.log.append(event)
+            host.log.events.append(event)
         for effect in step(host.state, event):
             self._perform(name, host.state, effect)
 
@@ -301,6 +323,15 @@
         self.clock.call_at(due, lambda: self._enter(name, state, wake))
 
     def _dispatch(self, name: str, state: HostState, effect: effects.Dispatch) -> None:
+        attempted = Attempted(
+            self.clock.now,
+            name,
+            effect.req_id,
+            effect.attempt,
+            effect.account,
+            effect.target.name,
+        )
+        self.attempted.append(attempted)
         target = self.targets[effect.target.name]
         here = self.hosts[name].entry.failure_domain
         there = effect.target.failure_domain
