--- a/packages/almondgap-testkit/almondgap_testkit/fakes/platform.py
+++ b/packages/almondgap-testkit/almondgap_testkit/fakes/platform.py
@@ -15,6 +15,9 @@
 from almondgap_daemon.platform.memory import MemoryTables
 from almondgap_testkit.fakes.network import PLATFORM, FakeNetwork
 
+#: Time that a call takes at the platform.
+DELAY_US = millis(4)
+
 #: Wait after which a host gives up on the platform.
 TIMEOUT_US = seconds(3)
 
@@ -32,7 +35,7 @@
     tables: MemoryTables = Factory(MemoryTables)
     objects: dict[str, bytes] = Factory(dict)
     down: bool = False
-    delay: int = millis(4)
+    delay: int = DELAY_US
     lose_answers: int = 0
     reads: int = 0
     writes: int = 0
--- a/packages/almondgap-testkit/almondgap_testkit/fakes/world.py
+++ b/packages/almondgap-testkit/almondgap_testkit/fakes/world.py
@@ -16,6 +16,7 @@
     compute_object_name,
 )
 from almondgap_core.reducer import step
+from almondgap_core.requests.flow import IDEMPOTENT_METHODS
 from almondgap_core.settings.head import HEAD, Head, plan_head_change
 from almondgap_core.settings.inventory import Inventory
 from almondgap_core.settings.rollout import load_inventory
@@ -88,6 +89,8 @@
 
     :ivar answers: what callers got, by request identifier.
     :ivar attempted: all attempts, in the order in which hosts began them.
+    :ivar runs: when each host's runs began and ended, after the world was made.
+    :ivar idempotent_labels: labels of requests that may run more than once.
     :ivar keep_events: whether hosts' events are kept for replay.
     """
 
@@ -111,6 +114,8 @@
         self.answers: dict[str, FakeAnswer] = {}
         self.labels: dict[str, str] = {}
         self.attempted: list[Attempted] = []
+        self.runs: dict[str, list[tuple[int, str]]] = {}
+        self.idempotent_labels: set[str] = set()
         self.keep_events = keep_events
         self.listed: tuple[events.HostEntry, ...] = ()
         self._incarnations = 0
@@ -144,6 +149,7 @@
         """Start a host with nothing in memory."""
         host = self.hosts[name]
         self._incarnations += 1
+        self.runs.setdefault(name, []).append((self.clock.now, "begin"))
         domain = host.entry.failure_domain
         seed = self.rng.getrandbits(60)
         state = HostState(name, domain, self._incarnations, seed=seed)
@@ -156,6 +162,8 @@
 
     def crash(self, name: str) -> None:
         """End a host at once."""
+        if self.hosts[name].state is not None:
+            self.runs[name].append((self.clock.now, "end"))
         self.hosts[name].state = None
 
     def pause(self, name: str) -> None:
@@ -190,6 +198,8 @@
         req_id = f"r{len(self.answers) + 1}"
         self.answers[req_id] = FakeAnswer(host, account, self.clock.now)
         self.labels[req_id] = label or req_id
+        if method in IDEMPOTENT_METHODS:
+            self.idempotent_labels.add(self.labels[req_id])
         credential = self._find_credential(account)
 
         def arrive() -> None:
@@ -198,7 +208,7 @@
             arrival = events.RequestArrived(
                 now, req_id, service, method, credential, deadline, **extra
             )
-            self._feed(host, arrival)
+            self.feed(host, arrival)
 
         if self.hosts[host].state is not None:
             self._enter(host, self.hosts[host].state, arrive)
@@ -224,7 +234,8 @@
             return
         action()
 
-    def _feed(self, name: str, event: events.Event) -> None:
+    def feed(self, name: str, event: events.Event) -> None:
+        """Let a host's reducer handle an event and perform what it wants done."""
         host = self.hosts[name]
         if self.keep_events:
             host.log.events.append(event)
@@ -233,7 +244,7 @@
 
     def _tick(self, name: str, state: HostState) -> None:
         def tick() -> None:
-            self._feed(name, events.Tick(self.read_clock(name)))
+            self.feed(name, events.Tick(self.read_clock(name)))
             self.clock.call_later(TICK_US, lambda: self._tick(name, state))
 
         self._enter(name, state, tick)
@@ -242,7 +253,7 @@
         def listed() -> None:
             place = self.hosts[name].entry.failure_domain
             if not self.platform.down and not self.network.is_cut(place, PLATFORM):
-                self._feed(name, events.HostsListed(self.read_clock(name), self.listed))
+                self.feed(name, events.HostsListed(self.read_clock(name), self.listed))
             self.clock.call_later(HOST_LIST_US, lambda: self._list_hosts(name, state))
 
         self._enter(name, state, listed)
@@ -288,7 +299,7 @@
 
         def arrive() -> None:
             now = self.read_clock(effect.host)
-            self._feed(effect.host, events.PeerMessage(now, name, message))
+            self.feed(effect.host, events.PeerMessage(now, name, message))
 
         self.network.carry(one, receiver.entry.failure_domain, deliver)
 
@@ -298,7 +309,7 @@
 
         def arrive(result) -> None:
             now = self.read_clock(name)
-            self._feed(name, events.TransactionEnded(now, effect.ticket, result))
+            self.feed(name, events.TransactionEnded(now, effect.ticket, result))
 
         place = self.hosts[name].entry.failure_domain
         self.platform.transact(place, effect.transaction, report)
@@ -310,14 +321,14 @@
         def arrive(body: bytes | None) -> None:
             text = None if body is None else body.decode()
             now = self.read_clock(name)
-            self._feed(name, events.BodyFetched(now, effect.version, text))
+            self.feed(name, events.BodyFetched(now, effect.version, text))
 
         place = self.hosts[name].entry.failure_domain
         self.platform.fetch(place, effect.body, report)
 
     def _wake(self, name: str, state: HostState, at: int) -> None:
         def wake() -> None:
-            self._feed(name, events.Tick(self.read_clock(name)))
+            self.feed(name, events.Tick(self.read_clock(name)))
 
         due = at - self.hosts[name].offset
         self.clock.call_at(due, lambda: self._enter(name, state, wake))
@@ -346,9 +357,9 @@
             now = self.read_clock(name)
             key = (effect.req_id, effect.attempt)
             if isinstance(progress, int):
-                self._feed(name, events.AnswerStarted(now, *key, progress))
+                self.feed(name, events.AnswerStarted(now, *key, progress))
             else:
-                self._feed(name, events.AttemptEnded(now, *key, progress))
+                self.feed(name, events.AttemptEnded(now, *key, progress))
 
         if self.network.is_cut(here, there):
             report(events.AttemptOutcome.NOT_SENT)
@@ -363,7 +374,7 @@
             now = self.read_clock(name)
             outcome = events.AttemptOutcome.TIMED_OUT
             ended = events.AttemptEnded(now, effect.req_id, effect.attempt, outcome)
-            self._feed(name, ended)
+            self.feed(name, ended)
 
         due = effect.deadline - self.hosts[name].offset
         self.clock.call_at(due, lambda: self._enter(name, state, give_up))
--- /dev/null
+++ b/packages/almondgap-testkit/almondgap_testkit/scenarios/__init__.py
@@ -0,0 +1,1 @@
+"""The scenario language: deployments, traffic, faults and expectations."""
