--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PACKAGES := core daemon cli testkit
 STAMP := $(VENV)/.installed
 
-.PHONY: test lint format bench
+.PHONY: test lint format bench scenarios soak
 
 $(STAMP): requirements.txt $(wildcard packages/*/pyproject.toml)
 	python3 -m venv $(VENV)
@@ -25,3 +25,11 @@
 
 bench: $(STAMP)
 	$(BIN)/python -m almondgap_testkit.bench
+
+scenarios: $(STAMP)
+	$(BIN)/python -m almondgap_testkit.scenarios
+
+SEEDS ?= 1000
+soak: $(STAMP)
+	$(BIN)/python -m almondgap_testkit.scenarios scenarios/random.scenario \
+		--seeds $(SEEDS)
--- a/packages/almondgap-core/almondgap_core/requests/flow.py
+++ b/packages/almondgap-core/almondgap_core/requests/flow.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from attrs import evolve
+
 from almondgap_core.effects import (
     CancelAttempt,
     CutAnswer,
@@ -122,7 +124,7 @@
         return
     record.stage = Stage.ANSWERING
     record.status = event.status
-    verdict = Verdict.NOT_RUN if shed else Verdict.RAN
+    verdict = _judge_answer(record, bool(shed))
     state.perform(Relay(record.req_id, record.attempt, verdict))
 
 
@@ -138,6 +140,7 @@
         _finish_answer(state, record, event)
         return
     not_run = event.outcome is AttemptOutcome.NOT_SENT
+    record.exposed = record.exposed or not not_run
     if (not_run or record.idempotent) and _may_try_again(record, event.now):
         _ask_slot(state, record, event.now)
         return
@@ -200,6 +203,12 @@
     return record
 
 
+def _judge_answer(record: RequestRecord, shed: bool) -> Verdict:
+    if not shed:
+        return Verdict.RAN
+    return Verdict.MAY_HAVE_RUN if record.exposed else Verdict.NOT_RUN
+
+
 def _may_try_again(record: RequestRecord, now: int) -> bool:
     return record.attempt < MAX_ATTEMPTS and now < record.deadline
 
@@ -233,6 +242,8 @@
 def _refuse(
     state: HostState, record: RequestRecord, refusal: Refusal, now: int
 ) -> None:
+    if record.exposed and refusal.verdict is Verdict.NOT_RUN:
+        refusal = evolve(refusal, verdict=Verdict.MAY_HAVE_RUN)
     del state.requests.open[record.req_id]
     state.perform(Refuse(record.req_id, refusal))
     _record_end(state, record, refusal.status, refusal.verdict, now)
--- a/packages/almondgap-core/almondgap_core/requests/record.py
+++ b/packages/almondgap-core/almondgap_core/requests/record.py
@@ -25,6 +25,7 @@
     :ivar attempt: number of the latest attempt, 0 before the first.
     :ivar target: target of the latest attempt.
     :ivar tried: targets that failed.
+    :ivar exposed: whether an earlier attempt may have run.
     :ivar status: status of the answer that is being relayed.
     """
 
@@ -38,4 +39,5 @@
     attempt: int = 0
     target: str = ""
     tried: tuple[str, ...] = ()
+    exposed: bool = False
     status: int = 0
--- a/tests/core/requests/test_flow.py
+++ b/tests/core/requests/test_flow.py
@@ -59,6 +59,14 @@
         (refuse,) = pick(effects, Refuse)
         self.assertIs(refuse.refusal.verdict, Verdict.MAY_HAVE_RUN)
 
+    def test_refusal_after_a_broken_attempt_never_says_not_run(self):
+        self.run_until_dispatch()
+        for number in range(4):
+            step(self.state, build_arrival(req_id=f"other{number}"))
+        broken = AttemptEnded(1, "r1", 1, AttemptOutcome.BROKEN)
+        (refuse,) = pick(step(self.state, broken), Refuse)
+        self.assertIs(refuse.refusal.verdict, Verdict.MAY_HAVE_RUN)
+
     def test_broken_answer_is_cut(self):
         self.run_until_dispatch()
         step(self.state, AnswerStarted(1, "r1", 1, 200))
