--- a/packages/almondgap-core/almondgap_core/effects.py
+++ b/packages/almondgap-core/almondgap_core/effects.py
@@ -100,6 +100,13 @@
     body: str
 
 
+@frozen
+class FetchObject(Effect):
+    """Read an object; the answer comes as ``ObjectFetched``."""
+
+    name: str
+
+
 @frozen
 class Finished(Effect):
     """A request is over; for metrics and histograms.
--- a/packages/almondgap-core/almondgap_core/events.py
+++ b/packages/almondgap-core/almondgap_core/events.py
@@ -140,6 +140,17 @@
     text: str | None
 
 
+@frozen
+class ObjectFetched(Event):
+    """An object was read from the object store.
+
+    :ivar body: the object, or None if it could not be had.
+    """
+
+    name: str
+    body: bytes | None
+
+
 @frozen
 class DrainRequested(Event):
     """The host has to stop: take no new work and finish what runs."""
--- a/packages/almondgap-core/almondgap_core/settings/inventory.py
+++ b/packages/almondgap-core/almondgap_core/settings/inventory.py
@@ -6,6 +6,12 @@
 
 from attrs import frozen
 
+from almondgap_core.settings.places import (
+    DEFAULT_ANSWER_BYTES,
+    Places,
+    Position,
+    read_position,
+)
 from almondgap_core.settings.reader import Reader, Report
 from almondgap_core.units import MILLIS_PER_UNIT, millis
 
@@ -30,12 +36,14 @@
 
     :ivar capacity: requests per second that the region can take, in thousandths.
     :ivar position: east and north, in milliseconds of one-way delay.
+    :ivar draining: whether traffic has to leave the region, within the shift cap.
     """
 
     name: str
     failure_domains: tuple[str, ...]
     capacity: int
-    position: tuple[float, float]
+    position: Position
+    draining: bool
 
 
 @frozen
@@ -64,6 +72,7 @@
     :ivar open: whether requests without a key are served.
     :ivar deadline: longest time from arrival to answer, in microseconds.
     :ivar shed_is_not_run: whether status 503 of a target proves that nothing ran.
+    :ivar answer_bytes: usual size of a request and its answer, for the links.
     """
 
     name: str
@@ -71,6 +80,7 @@
     deadline: int
     shed_is_not_run: bool
     targets: tuple[str, ...]
+    answer_bytes: int
 
 
 @frozen
@@ -115,6 +125,7 @@
     keys: Mapping[str, KeyEntry]
     lookup_ttl: int
     partitions_per_domain: int
+    places: Places
 
     @classmethod
     def from_document(cls, document: object, report: Report) -> Inventory:
@@ -134,23 +145,33 @@
         partitions = top.integer(
             "partitions_per_domain", DEFAULT_PARTITIONS, low=1, high=MAX_PARTITIONS
         )
+        places = Places.from_reader(top, regions, ttl)
         top.finish()
         _warn_about(top, services, accounts)
-        return cls(regions, domains, services, targets, accounts, keys, ttl, partitions)
+        return cls(
+            regions,
+            domains,
+            services,
+            targets,
+            accounts,
+            keys,
+            ttl,
+            partitions,
+            places,
+        )
 
 
 def _read_region(name: str, reader: Reader) -> Region:
     domains = reader.texts("failure_domains")
     capacity = reader.number("capacity_per_s", low=0.001)
-    place = reader.section("position_ms")
-    position = (place.number("east", 0, low=-1e6), place.number("north", 0, low=-1e6))
-    place.finish()
+    position = read_position(reader)
+    draining = reader.boolean("draining", False)
     if not domains:
         reader.fail(
             reader.join("failure_domains"), "an empty list", "at least one name"
         )
     reader.finish()
-    return Region(name, domains, round(capacity * MILLIS_PER_UNIT), position)
+    return Region(name, domains, round(capacity * MILLIS_PER_UNIT), position, draining)
 
 
 def _index_domains(top: Reader, regions: Mapping[str, Region]):
@@ -172,6 +193,7 @@
     )
     is_open = reader.boolean("open", False)
     shed = reader.boolean("shed_is_not_run", False)
+    answer_bytes = reader.integer("answer_bytes", DEFAULT_ANSWER_BYTES, low=1)
     names = []
     for entry in reader.items("targets", required=True):
         target = _read_target(name, entry, domains)
@@ -182,7 +204,7 @@
         targets[target.name] = target
         names.append(target.name)
     reader.finish()
-    return Service(name, is_open, millis(deadline), shed, tuple(names))
+    return Service(name, is_open, millis(deadline), shed, tuple(names), answer_bytes)
 
 
 def _read_target(service: str, reader: Reader, domains) -> Target:
--- a/packages/almondgap-daemon/almondgap_daemon/node.py
+++ b/packages/almondgap-daemon/almondgap_daemon/node.py
@@ -88,6 +88,8 @@
                 self._transact(effect)
             case effects.FetchBody():
                 self._fetch(effect)
+            case effects.FetchObject():
+                self._fetch_object(effect.name)
             case effects.WakeAt():
                 self._wake(effect.at)
             case effects.LogEntry():
@@ -124,6 +126,15 @@
         done.addCallback(report)
         done.addErrback(_log_failure)
 
+    def _fetch_object(self, name: str) -> None:
+        def report(body: bytes | None) -> None:
+            self.feed(events.ObjectFetched(self.now(), name, body))
+
+        done = self.objects.get(name)
+        done.addErrback(_forgive_platform)
+        done.addCallback(report)
+        done.addErrback(_log_failure)
+
     def _read_hosts(self) -> None:
         done = self.host_list.list_hosts()
         done.addCallback(self._note_hosts)
--- a/packages/almondgap-testkit/almondgap_testkit/fakes/world.py
+++ b/packages/almondgap-testkit/almondgap_testkit/fakes/world.py
@@ -233,6 +233,8 @@
                 self._transact(name, state, effect)
             case effects.FetchBody():
                 self._fetch(name, state, effect)
+            case effects.FetchObject():
+                self._fetch_object(name, state, effect.name)
             case effects.WakeAt():
                 self._wake(name, state, effect.at)
             case effects.Dispatch():
@@ -293,6 +295,16 @@
         place = self.hosts[name].entry.failure_domain
         self.platform.fetch(place, effect.body, report)
 
+    def _fetch_object(self, name: str, state: HostState, wanted: str) -> None:
+        def report(body: bytes | None) -> None:
+            self._enter(name, state, lambda: arrive(body))
+
+        def arrive(body: bytes | None) -> None:
+            self._feed(name, events.ObjectFetched(self.read_clock(name), wanted, body))
+
+        place = self.hosts[name].entry.failure_domain
+        self.platform.fetch(place, wanted, report)
+
     def _wake(self, name: str, state: HostState, at: int) -> None:
         def wake() -> None:
             self._feed(name, events.Tick(self.read_clock(name)))
