--- a/packages/almondgap-core/almondgap_core/requests/record.py
+++ b/packages/almondgap-core/almondgap_core/requests/record.py
@@ -29,6 +29,7 @@
     :ivar attempt: number of the latest attempt, 0 before the first.
     :ivar target: target of the latest attempt.
     :ivar tried: targets that failed.
+    :ivar exposed: whether an earlier attempt may have run.
     :ivar status: status of the answer that is being relayed.
     :ivar verdict: verdict of the answer that is being relayed.
     :ivar operation: the caller's ``Idempotency-Key``, empty without one.
@@ -45,6 +46,7 @@
     attempt: int = 0
     target: str = ""
     tried: tuple[str, ...] = ()
+    exposed: bool = False
     status: int = 0
     verdict: Verdict = Verdict.RAN
     operation: str = ""
