--- a/packages/almondgap-core/almondgap_core/events.py
+++ b/packages/almondgap-core/almondgap_core/events.py
@@ -162,7 +162,12 @@
 
 @frozen
 class DrainRequested(Event):
-    """The host has to stop: take no new work and finish what runs."""
+    """The host has to stop: take no new work and finish what runs.
+
+    :ivar deadline: when it stops at the latest, in microseconds; None without a bound.
+    """
+
+    deadline: int | None = None
 
 
 @frozen
--- a/packages/almondgap-core/almondgap_core/lifecycle.py
+++ b/packages/almondgap-core/almondgap_core/lifecycle.py
@@ -1,22 +1,96 @@
-"""Planned stop: a host finishes what runs and then leaves."""
+"""Planned stop: serve cached look-ups out, finish, hand over, leave."""
 
 from __future__ import annotations
 
-from almondgap_core.effects import Stopped
+from almondgap_core.effects import LogEntry, Stopped
 from almondgap_core.events import DrainRequested, Tick
+from almondgap_core.operations.handover import move_books
+from almondgap_core.stages import Stage
 from almondgap_core.state import HostState
+from almondgap_core.units import MICROS_PER_MILLI, MICROS_PER_SECOND
+
+#: Part of the time of a planned stop that is kept for handing over, as a divisor.
+HAND_OVER_PART = 3
+
+#: Longest time that is kept for handing over.
+HAND_OVER_US = 8 * MICROS_PER_SECOND
 
 
 def handle_drain_requested(state: HostState, event: DrainRequested) -> None:
-    """Begin the planned stop."""
+    """Begin the planned stop, and say so with the next heartbeat at once."""
+    if state.stopping:
+        return
     state.stopping = True
+    state.members.next_heartbeat = event.now
+    lifecycle = state.lifecycle
+    lifecycle.drained_from = event.now
+    lifecycle.deadline = event.deadline
+    lifecycle.machine.drain()
 
 
 def handle_tick(state: HostState, event: Tick) -> None:
-    """End the planned stop once no request is left."""
-    if state.stopping and not state.stopped and not state.requests.open:
-        state.stopped = True
-        state.perform(Stopped())
+    """Go on to the next stage when it is time."""
+    stage = state.lifecycle.stage
+    if stage in (Stage.SERVING, Stage.STOPPED):
+        return
+    if stage is Stage.JOINING:
+        if state.inventory is not None:
+            state.lifecycle.machine.configure()
+        return
+    deadline = state.lifecycle.deadline
+    if deadline is not None and event.now >= deadline:
+        _stop(state, event.now)
+    elif stage is Stage.DRAINING:
+        _drain(state, event.now)
+    elif stage is Stage.MOVING:
+        _move(state, event.now)
+    elif not state.requests.open:
+        _stop(state, event.now)
+
+
+def _drain(state: HostState, now: int) -> None:
+    """Wait until no caller has a look-up that names this host, and all is done."""
+    lifecycle = state.lifecycle
+    ttl = state.inventory.lookup_ttl * MICROS_PER_SECOND
+    done = now >= lifecycle.drained_from + ttl and not state.requests.open
+    if done or now >= _find_latest_move(state):
+        lifecycle.moved_from = now
+        lifecycle.books = len(state.operations.books)
+        lifecycle.machine.finish()
+
+
+def _find_latest_move(state: HostState) -> float:
+    lifecycle = state.lifecycle
+    if lifecycle.deadline is None:
+        return float("inf")
+    whole = lifecycle.deadline - lifecycle.drained_from
+    return lifecycle.deadline - min(whole // HAND_OVER_PART, HAND_OVER_US)
+
+
+def _move(state: HostState, now: int) -> None:
+    """Hand records to other hosts, after the requests that write them."""
+    if state.requests.open:
+        return
+    late = now >= state.lifecycle.moved_from + HAND_OVER_US
+    left = move_books(state, now)
+    if late or not (left or state.operations.reports):
+        state.lifecycle.machine.empty()
+
+
+def _stop(state: HostState, now: int) -> None:
+    lifecycle = state.lifecycle
+    lifecycle.machine.leave()
+    state.stopped = True
+    took = (now - lifecycle.drained_from) // MICROS_PER_MILLI
+    fields = (
+        ("took_ms", took),
+        ("cut", len(state.requests.open)),
+        ("books", lifecycle.books),
+        ("books_lost", len(state.operations.books)),
+        ("outcomes_lost", len(state.operations.reports)),
+    )
+    state.perform(LogEntry("planned stop done", fields))
+    state.perform(Stopped())
 
 
 EVENT_HANDLERS = {DrainRequested: handle_drain_requested, Tick: handle_tick}
--- a/packages/almondgap-core/almondgap_core/requests/flow.py
+++ b/packages/almondgap-core/almondgap_core/requests/flow.py
@@ -196,7 +196,7 @@
         return Refusal(
             503, Reason.NOT_READY, Verdict.NOT_RUN, detail, MICROS_PER_SECOND
         )
-    if state.stopped:
+    if not state.lifecycle.takes_work:
         detail = "This host is stopping; ask the look-up for another."
         return Refusal(503, Reason.STOPPING, Verdict.NOT_RUN, detail, 0)
     return None
--- a/packages/almondgap-core/almondgap_core/state.py
+++ b/packages/almondgap-core/almondgap_core/state.py
@@ -14,6 +14,7 @@
 from almondgap_core.requests.state import RequestsState
 from almondgap_core.settings.inventory import Inventory
 from almondgap_core.settings.state import SettingsState
+from almondgap_core.stages import LifecycleState
 from almondgap_core.steering.state import SteeringState
 
 
@@ -36,6 +37,7 @@
     seed: int = 1
     stopping: bool = False
     stopped: bool = False
+    lifecycle: LifecycleState = Factory(LifecycleState)
     settings: SettingsState = Factory(SettingsState)
     members: MembershipState = Factory(MembershipState)
     limits: LimitsState = Factory(LimitsState)
--- a/packages/almondgap-core/almondgap_core/steering/lookup.py
+++ b/packages/almondgap-core/almondgap_core/steering/lookup.py
@@ -4,6 +4,7 @@
 
 from attrs import frozen
 
+from almondgap_core.events import HostEntry
 from almondgap_core.operations.minting import mint_prefix
 from almondgap_core.state import HostState
 from almondgap_core.steering.targets import list_owned_targets
@@ -38,7 +39,8 @@
 
 def look_up(state: HostState, service: str, now: int) -> LookupAnswer:
     """Return the entry hosts for ``service``, this host first if it can serve it."""
-    entries = [entry for entry in state.members.listed.values() if not entry.leaving]
+    listed = state.members.listed.values()
+    entries = [entry for entry in listed if not _is_leaving(state, entry)]
     own = bool(list_owned_targets(state, service, now))
     entries.sort(key=lambda entry: (entry.name != state.host or not own, entry.name))
     hosts = tuple(
@@ -48,3 +50,10 @@
     return LookupAnswer(
         service, state.settings.version, hosts, state.inventory.lookup_ttl, prefix
     )
+
+
+def _is_leaving(state: HostState, entry: HostEntry) -> bool:
+    if entry.name == state.host:
+        return entry.leaving or state.stopping
+    peer = state.members.peers.get(entry.name)
+    return entry.leaving or (peer is not None and peer.stopping)
--- a/packages/almondgap-daemon/almondgap_daemon/main.py
+++ b/packages/almondgap-daemon/almondgap_daemon/main.py
@@ -16,7 +16,7 @@
 from almondgap_core.events import DrainRequested
 from almondgap_core.exceptions import UserError
 from almondgap_core.state import HostState
-from almondgap_core.units import MICROS_PER_MILLI
+from almondgap_core.units import MICROS_PER_MILLI, seconds
 from almondgap_daemon.callers import CallerApi
 from almondgap_daemon.logs import configure_logs
 from almondgap_daemon.metrics import Metrics, make_sink
@@ -30,6 +30,9 @@
 
 BACKLOG = 1024
 
+#: Time after the deadline of a planned stop at which the process ends anyway.
+STOP_GRACE_S = 1
+
 
 def main() -> None:
     """Run a host until it is told to stop."""
@@ -78,8 +81,9 @@
 
 def _begin_stop(node: Node, cfg: Settings) -> None:
     log.info("planned stop", running=len(node.state.requests.open))
-    reactor.callLater(cfg.stop_deadline, _end, node)
-    node.feed(DrainRequested(node.now()))
+    reactor.callLater(cfg.stop_deadline + STOP_GRACE_S, _end, node)
+    now = node.now()
+    node.feed(DrainRequested(now, now + seconds(cfg.stop_deadline)))
 
 
 def _end(node: Node) -> None:
--- a/packages/almondgap-testkit/almondgap_testkit/fakes/targets.py
+++ b/packages/almondgap-testkit/almondgap_testkit/fakes/targets.py
@@ -21,6 +21,7 @@
 
     :ivar service_time: time that a request takes, in microseconds.
     :ivar ran: how often each label ran.
+    :ivar first_ran: when each label first ran, in microseconds.
     :ivar overloads: requests that came when every slot was taken.
     """
 
@@ -35,6 +36,7 @@
     overloads: int = 0
     started: list[int] = Factory(list)
     ran: dict[str, int] = Factory(dict)
+    first_ran: dict[str, int] = Factory(dict)
 
     def run(self, label: str, report: Report) -> None:
         """Take a request; report the head and the end of the answer."""
@@ -49,6 +51,7 @@
             self.overloads += 1
         self.running += 1
         self.started.append(self.clock.now)
+        self.first_ran.setdefault(label, self.clock.now)
         self.ran[label] = self.ran.get(label, 0) + 1
         self.clock.call_later(self.service_time, lambda: self._finish(report))
 
