--- a/Makefile
+++ b/Makefile
@@ -24,7 +24,7 @@
 	$(BIN)/ruff check --fix .
 
 bench: $(STAMP)
-	$(BIN)/python -m almondgap_testkit.bench
+	$(BIN)/python -m almondgap_testkit.bench $(if $(REPORT),--report $(REPORT))
 
 scenarios: $(STAMP)
 	$(BIN)/python -m almondgap_testkit.scenarios
