Show the product at work in a demo that judges itself

Cause: nothing showed the promises of the product on real processes, and nobody could see in two minutes whether they hold.

Ruled out: a closed loop of callers, which slows down together with the fleet and hides its latency; judging by what hosts report of themselves, since a promise that is broken at a host is seen only at callers and targets; counting a promise as held when nothing exercised it.

Change: `make demo` runs the Trust example with ten hosts in six failure domains. Callers of all eight client accounts look up and send in an open loop from fixed seeds, while operators apply three changes, drain a target, withdraw a key, kill one host and stop another. Targets record every run with its time. Each promise is judged from those records and from the callers' answers, or said to be not shown. Stand-in targets gain cold starts, a lying health endpoint, drain, chunked answers and recorded headers.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PACKAGES := core daemon cli testkit
 STAMP := $(VENV)/.installed
 
-.PHONY: test lint format bench
+.PHONY: demo test lint format bench
 
 $(STAMP): requirements.txt $(wildcard packages/*/pyproject.toml)
 	python3 -m venv $(VENV)
@@ -12,6 +12,9 @@
 		$(foreach name,$(PACKAGES),-e packages/almondgap-$(name))
 	touch $(STAMP)
 
+demo: $(STAMP)
+	$(BIN)/python -m almondgap_testkit.demo
+
 test: $(STAMP)
 	$(BIN)/python -m almondgap_testkit.suite tests
 
--- /dev/null
+++ b/packages/almondgap-testkit/almondgap_testkit/demo/__init__.py
@@ -0,0 +1,1 @@
+"""The demo: an example fleet under traffic, changes and failures, then judged."""
--- a/packages/almondgap-testkit/almondgap_testkit/standins/targets.py
+++ b/packages/almondgap-testkit/almondgap_testkit/standins/targets.py
@@ -8,9 +8,10 @@
 
 import argparse
 import json
+import time
 from pathlib import Path
 
-from attrs import Factory, asdict, define
+from attrs import asdict
 from klein import Klein
 from twisted.internet import reactor
 from twisted.web.resource import Resource
@@ -18,43 +19,11 @@
 
 from almondgap_core.settings.inventory import Target
 from almondgap_core.settings.rollout import load_inventory
+from almondgap_testkit.standins.behaviour import Behaviour, Run, TargetRecord
 from almondgap_testkit.standins.serving import answer_json, listen, run
 
 KEY_WORD = "agk_"
-
-
-@define
-class Behaviour:
-    """How a target acts.
-
-    :ivar delay_ms: time that a request takes.
-    :ivar shed: whether every request is shed with status 503, not run.
-    :ivar cut_short: whether answers break off in the middle.
-    :ivar status: status of answers.
-    """
-
-    delay_ms: int = 5
-    shed: bool = False
-    cut_short: bool = False
-    status: int = 200
-
-
-@define
-class TargetRecord:
-    """What happened at a target.
-
-    :ivar ran: how often each operation ran, by the caller's label.
-    :ivar keys_seen: requests in which a client account's key arrived.
-    :ivar cancelled: requests whose connection closed while they ran.
-    """
-
-    running: int = 0
-    most_running: int = 0
-    served: int = 0
-    shed: int = 0
-    cancelled: int = 0
-    keys_seen: int = 0
-    ran: dict[str, int] = Factory(dict)
+HEALTH_PATH = b"/health"
 
 
 class TargetStandIn(Resource):
@@ -69,32 +38,61 @@
         self.record = TargetRecord()
 
     def render(self, request):
-        """Run a request, or shed it."""
+        """Run a request, shed it, or tell about the target's health."""
+        if request.path == HEALTH_PATH:
+            return self._answer_health(request)
         record = self.record
-        if KEY_WORD in str(request.requestHeaders):
-            record.keys_seen += 1
+        self._note_headers(request)
         if self.behaviour.shed or record.running >= self.target.slots:
             record.shed += 1
             request.setResponseCode(503)
             return b"shed\n"
-        record.running += 1
-        record.most_running = max(record.most_running, record.running)
-        label = request.getHeader("X-Label")
-        if label:
-            record.ran[label] = record.ran.get(label, 0) + 1
+        delay = self._choose_delay_ms() / 1_000
+        record.begin(self._make_run(request), self.behaviour.draining)
         gone = request.notifyFinish()
-        delay = self.behaviour.delay_ms / 1_000
         call = reactor.callLater(delay, self._answer, request)
         gone.addErrback(lambda _: self._cancel(call))
         return NOT_DONE_YET
 
+    def _note_headers(self, request) -> None:
+        if KEY_WORD in str(request.requestHeaders):
+            self.record.keys_seen += 1
+        self.record.headers = {
+            name.decode(errors="replace"): values[0].decode(errors="replace")
+            for name, values in request.requestHeaders.getAllRawHeaders()
+        }
+
+    def _make_run(self, request) -> Run:
+        return Run(
+            time.monotonic(),
+            self.target.name,
+            request.getHeader("Almondgap-Account") or "",
+            request.method.decode(errors="replace"),
+            request.getHeader("X-Label") or "",
+        )
+
+    def _choose_delay_ms(self) -> int:
+        cold = self.record.started < self.behaviour.cold_requests
+        extra = self.behaviour.cold_delay_ms if cold else 0
+        return self.behaviour.delay_ms + extra
+
+    def _answer_health(self, request) -> bytes:
+        claims, running = self.behaviour, self.record.running
+        healthy = not (claims.shed or claims.draining)
+        if claims.claimed_healthy is not None:
+            healthy = claims.claimed_healthy
+        load = running if claims.claimed_load is None else claims.claimed_load
+        return answer_json(request, {"healthy": healthy, "running": load})
+
     def _answer(self, request) -> None:
         self.record.running -= 1
         self.record.served += 1
         body = {"target": self.target.name, "path": request.uri.decode()}
         data = json.dumps(body).encode() + b"\n"
+        data = data.ljust(self.behaviour.body_bytes, b" ")
         request.setResponseCode(self.behaviour.status)
-        request.setHeader("Content-Length", str(len(data)))
+        if not self.behaviour.chunked:
+            request.setHeader("Content-Length", str(len(data)))
         if self.behaviour.cut_short:
             request.write(data[: len(data) // 2])
             reactor.callLater(0.01, request.transport.loseConnection)
@@ -126,9 +124,15 @@
     @app.route("/records")
     def show_records(self, request):
         """Tell what happened at every target."""
-        records = {name: asdict(t.record) for name, t in self.targets.items()}
+        records = {name: t.record.summarize() for name, t in self.targets.items()}
         return answer_json(request, records)
 
+    @app.route("/runs")
+    def show_runs(self, request):
+        """List every request that began to run, with its time."""
+        runs = [asdict(run) for t in self.targets.values() for run in t.record.runs]
+        return answer_json(request, {"now": time.monotonic(), "runs": runs})
+
 
 def main() -> None:
     """Run the stand-ins for all targets of an inventory."""
