Hold partitions by lease rows in the table service

Cause: who may use a partition was computed from the list of hosts, so two hosts with different lists could both use it.

Ruled out: absolute expiry times (clocks are not synchronized); one row per host (a take-over must check one row only); taking a restarted host's word that its past run is dead (a paused run may wake).

Change: one row per partition with holder, incarnation, epoch, duration, hold and witnesses. One transaction renews all that a host holds and reads its failure domain's rows; validity counts from when it was sent. A taker waits until a version stood still for duration and drift margin, a host that is no witness of the row waits the hold as well. A lost answer is read back. Placing spreads partitions over live hosts, a planned stop releases, a joining host gets its part one by one. LeaseTaken and LeaseLost tell the rest of the host. Notices name holders to other failure domains. A gap in the loop voids leases. A host is ready once it had its first chance to take partitions.

Conclusion: the lease is what decides; the two look-up functions keep their form.

--- /dev/null
+++ b/packages/almondgap-core/almondgap_core/limits/alive.py
@@ -0,0 +1,31 @@
+"""Which hosts this host believes alive; a belief costs quality, never safety."""
+
+from __future__ import annotations
+
+from almondgap_core.limits.rows import Witness
+from almondgap_core.state import HostState
+from almondgap_core.units import seconds
+
+#: Silence after which a host is no longer counted on.
+SILENCE_US = seconds(3.5)
+
+
+def list_alive(state: HostState, failure_domain: str, now: int) -> list[str]:
+    """Return the hosts of a failure domain that can take a part, in order of name."""
+    names = [w.host for w in list_heard(state, failure_domain, now)]
+    names = [name for name in names if not state.members.peers[name].stopping]
+    if failure_domain == state.failure_domain and not state.stopping:
+        names.append(state.host)
+    return sorted(names)
+
+
+def list_heard(state: HostState, failure_domain: str, now: int) -> list[Witness]:
+    """Return the other hosts of a failure domain that were heard lately."""
+    found = []
+    for name, peer in state.members.peers.items():
+        entry = state.members.listed.get(name)
+        if entry is None or entry.failure_domain != failure_domain:
+            continue
+        if name != state.host and now - peer.heard <= SILENCE_US:
+            found.append(Witness(name, peer.incarnation))
+    return sorted(found)
--- a/packages/almondgap-core/almondgap_core/limits/leases.py
+++ b/packages/almondgap-core/almondgap_core/limits/leases.py
@@ -4,9 +4,18 @@
 
 from attrs import frozen
 
-from almondgap_core.limits.division import rank
 from almondgap_core.limits.partitions import Partition
 from almondgap_core.state import HostState
+from almondgap_core.units import seconds
+
+#: Validity of a lease, from when its renewal was sent.
+LEASE_US = seconds(9)
+
+#: What a taker waits beyond the validity; covers clocks that run 1 % apart and more.
+DRIFT_US = seconds(0.5)
+
+#: Gap between two ticks after which a host trusts no lease before its next renewal.
+LOOP_GAP_US = seconds(2)
 
 
 @frozen
@@ -22,16 +31,25 @@
 
 def find_held(state: HostState, partition: Partition, now: int) -> HeldLease | None:
     """Return this host's lease on a partition, or None if it holds none at ``now``."""
-    if find_holder(state, partition) != state.host:
+    leases = state.limits.leases
+    lease = leases.own.get(partition)
+    if lease is None or now >= lease.valid_until:
         return None
-    return HeldLease(partition, state.incarnation)
+    if leases.last_tick is not None and now - leases.last_tick > LOOP_GAP_US:
+        return None
+    return HeldLease(partition, lease.epoch)
 
 
 def find_holder(state: HostState, partition: Partition) -> str | None:
-    """Return the host that holds a partition as far as is known here."""
-    hosts = [
-        entry.name
-        for entry in state.members.listed.values()
-        if entry.failure_domain == partition.failure_domain
-    ]
-    return rank(hosts, str(partition))[0] if hosts else None
+    """Return the host that holds a partition as far as is known here.
+
+    Rows tell of this host's failure domain, notices of the others. The answer says
+    where to ask; only the holder itself can tell that it holds.
+    """
+    if partition.failure_domain == state.failure_domain:
+        watched = state.limits.leases.watched.get(partition)
+        if watched is None or watched.row is None or watched.row.released:
+            return None
+        return watched.row.holder
+    named = state.limits.leases.named.get(partition)
+    return None if named is None else named[1]
--- /dev/null
+++ b/packages/almondgap-core/almondgap_core/limits/notices.py
@@ -0,0 +1,75 @@
+"""Notices: holders tell the other failure domains where to ask."""
+
+from __future__ import annotations
+
+from almondgap_core.effects import SendMessage
+from almondgap_core.events import Tick
+from almondgap_core.limits.events import LeaseLost, LeaseTaken
+from almondgap_core.limits.leases import find_held
+from almondgap_core.limits.messages import HoldingsNotice
+from almondgap_core.limits.partitions import Partition
+from almondgap_core.state import HostState
+from almondgap_core.units import seconds
+
+#: Time between two notices without a change, and most that jitter adds.
+NOTICE_INTERVAL_US = seconds(14)
+NOTICE_JITTER_US = seconds(2)
+
+#: Time over which neighbours spread the reading after a notice.
+SPREAD_US = seconds(0.5)
+
+
+def handle_tick(state: HostState, event: Tick) -> None:
+    """Send a notice when it is time, or when something changed."""
+    leases = state.limits.leases
+    if event.now < leases.next_notice:
+        return
+    jitter = state.draw(NOTICE_JITTER_US)
+    leases.next_notice = event.now + NOTICE_INTERVAL_US + jitter
+    notice = _make_notice(state, event.now)
+    for entry in state.members.listed.values():
+        outside = entry.failure_domain != state.failure_domain
+        if entry.name != state.host and (
+            leases.changed or (outside and notice.indexes)
+        ):
+            state.perform(SendMessage(entry.name, notice))
+    leases.changed = False
+
+
+def handle_change(state: HostState, event: LeaseTaken | LeaseLost) -> None:
+    """Send the next notice at once, also to neighbours: something may be free."""
+    state.limits.leases.next_notice = event.now
+    state.limits.leases.changed = True
+
+
+def handle_notice(
+    state: HostState, host: str, message: HoldingsNotice, now: int
+) -> None:
+    """Note who holds what; a neighbour's notice is a reason to read the rows."""
+    leases = state.limits.leases
+    if message.failure_domain == state.failure_domain:
+        leases.next_renewal = min(leases.next_renewal, now + state.draw(SPREAD_US))
+        return
+    named = leases.named
+    for index, epoch in zip(message.indexes, message.epochs, strict=False):
+        partition = Partition(message.failure_domain, index)
+        if epoch >= named.get(partition, (0, ""))[0]:
+            named[partition] = (epoch, host)
+
+
+def _make_notice(state: HostState, now: int) -> HoldingsNotice:
+    leases = state.limits.leases
+    held = [p for p in sorted(leases.own) if find_held(state, p, now) is not None]
+    return HoldingsNotice(
+        state.failure_domain,
+        tuple(partition.index for partition in held),
+        tuple(leases.own[partition].epoch for partition in held),
+    )
+
+
+EVENT_HANDLERS = {
+    Tick: handle_tick,
+    LeaseTaken: handle_change,
+    LeaseLost: handle_change,
+}
+MESSAGE_HANDLERS = {HoldingsNotice: handle_notice}
--- /dev/null
+++ b/packages/almondgap-core/almondgap_core/limits/renewal.py
@@ -0,0 +1,306 @@
+"""Renewal: take, keep, hand over and lose leases through the table service."""
+
+from __future__ import annotations
+
+from attrs import evolve
+
+from almondgap_core.effects import LogEntry, Transact
+from almondgap_core.events import Tick, TransactionEnded
+from almondgap_core.limits.alive import list_alive, list_heard
+from almondgap_core.limits.events import LeaseLost, LeaseTaken
+from almondgap_core.limits.leases import DRIFT_US, LEASE_US, LOOP_GAP_US
+from almondgap_core.limits.partitions import Partition, list_partitions
+from almondgap_core.limits.placing import place
+from almondgap_core.limits.rows import LeaseRow, Witness, make_row_key
+from almondgap_core.limits.state import OwnLease, PendingRenewal, WatchedRow
+from almondgap_core.platform import (
+    Check,
+    Row,
+    Transaction,
+    TransactionOutcome,
+    TransactionResult,
+    Write,
+)
+from almondgap_core.settings.inventory import MAX_DEADLINE_MS
+from almondgap_core.state import HostState
+from almondgap_core.units import millis, seconds
+
+RENEW_INTERVAL_US = seconds(2.8)
+RENEW_JITTER_US = seconds(0.4)
+
+#: Time to another try after a failure or a conflict, and most that jitter adds.
+RETRY_US = millis(300)
+RETRY_JITTER_US = millis(300)
+
+#: Time that a new host listens for its neighbours before it takes partitions.
+SETTLE_US = seconds(1.2)
+
+#: Time that a free partition waits for the host it is placed on.
+COURTESY_US = seconds(4)
+
+#: Least time between two partitions that a host gives to others.
+MOVE_INTERVAL_US = seconds(10)
+
+#: Longest time without the store after the lease: with witnesses, and alone.
+HOLD_MAX_US = seconds(600)
+HOLD_ALONE_US = seconds(120)
+
+#: Time that a stopping host gives the store to take its release.
+RELEASE_LIMIT_US = seconds(5)
+
+#: Time after which nothing of an earlier holder can still run.
+LONGEST_DEADLINE_US = millis(MAX_DEADLINE_MS)
+
+TICKET = "leases"
+
+
+def handle_tick(state: HostState, event: Tick) -> None:
+    """Watch for gaps in the loop and renew when it is time."""
+    leases = state.limits.leases
+    _note_time(state, event.now)
+    if state.inventory is None or leases.pending is not None:
+        return
+    if event.now >= leases.next_renewal or _must_release(state, event.now):
+        _send(state, event.now)
+
+
+def handle_transaction_ended(state: HostState, event: TransactionEnded) -> None:
+    """Take over what the table says."""
+    leases = state.limits.leases
+    pending = leases.pending
+    if pending is None or event.ticket != pending.ticket:
+        return
+    leases.pending = None
+    outcome = event.result.outcome
+    if outcome in (TransactionOutcome.UNKNOWN, TransactionOutcome.UNAVAILABLE):
+        leases.must_read |= outcome is TransactionOutcome.UNKNOWN
+        _plan_retry(state, event.now)
+        return
+    was_read, leases.must_read = leases.must_read, False
+    _watch(state, pending, event.result, event.now)
+    _adopt(state, event.now)
+    if outcome is TransactionOutcome.CONFLICT or was_read:
+        _plan_retry(state, event.now)
+    else:
+        _confirm(state, pending, event.now)
+
+
+def handle_lease_taken(state: HostState, event: LeaseTaken) -> None:
+    """Log the change of holder."""
+    state.perform(LogEntry("lease taken", _list_fields(event)))
+
+
+def handle_lease_lost(state: HostState, event: LeaseLost) -> None:
+    """Log the change of holder."""
+    state.perform(LogEntry("lease lost", _list_fields(event)))
+
+
+def _list_fields(event: LeaseTaken | LeaseLost) -> tuple[tuple[str, str | int], ...]:
+    return (("partition", str(event.partition)), ("epoch", event.epoch))
+
+
+def is_handed_over(state: HostState, now: int) -> bool:
+    """Return whether a stopping host may exit: it released all, or cannot."""
+    leases = state.limits.leases
+    if leases.stop_by is None:
+        leases.stop_by = now + RELEASE_LIMIT_US
+    return not leases.own or now >= leases.stop_by
+
+
+def _must_release(state: HostState, now: int) -> bool:
+    leases = state.limits.leases
+    ready = state.stopping and not state.requests.open and bool(leases.own)
+    return ready and now >= leases.sent + RETRY_US
+
+
+def _note_time(state: HostState, now: int) -> None:
+    leases = state.limits.leases
+    if leases.started is None:
+        leases.started = now
+    last, leases.last_tick = leases.last_tick, now
+    if last is not None and now - last > LOOP_GAP_US:
+        for lease in leases.own.values():
+            lease.valid_until = 0
+        leases.must_read |= leases.pending is not None
+        leases.pending = None
+        leases.next_renewal = now
+
+
+def _plan_retry(state: HostState, now: int) -> None:
+    jitter = state.draw(RETRY_JITTER_US)
+    state.limits.leases.next_renewal = now + RETRY_US + jitter
+
+
+def _send(state: HostState, now: int) -> None:
+    leases = state.limits.leases
+    partitions = tuple(list_partitions(state.inventory, state.failure_domain))
+    reads = tuple(sorted({*partitions, *leases.own}))
+    rows = {} if leases.must_read else _plan_rows(state, partitions, now)
+    checks = []
+    writes = []
+    for partition, row in rows.items():
+        key = make_row_key(partition)
+        checks.append(Check(key.table, key.key, leases.watched[partition].version))
+        writes.append(Write(key.table, key.key, row.to_text()))
+    leases.number += 1
+    leases.sent = now
+    ticket = f"{TICKET}:{leases.number}"
+    leases.pending = PendingRenewal(ticket, now, rows, reads)
+    keys = tuple(make_row_key(partition) for partition in reads)
+    state.perform(Transact(ticket, Transaction(tuple(checks), tuple(writes), keys)))
+
+
+def _plan_rows(state: HostState, partitions, now: int) -> dict[Partition, LeaseRow]:
+    leases = state.limits.leases
+    placed = place(partitions, list_alive(state, state.failure_domain, now))
+    witnesses = tuple(list_heard(state, state.failure_domain, now))
+    rows = {}
+    for partition, lease in leases.own.items():
+        lease.witnesses |= frozenset(witnesses)
+        rows[partition] = _make_row(state, lease.epoch, lease.clean, witnesses)
+    for partition in _pick_leaving(state, placed, now):
+        lease = leases.own[partition]
+        lease.valid_until = 0
+        clean = not state.requests.open and _is_clean(lease, now)
+        rows[partition] = evolve(rows[partition], released=True, clean=clean)
+    for partition in _plan_takes(state, now):
+        past = leases.watched[partition].row
+        epoch = 1 if past is None else past.epoch + 1
+        clean = past is None or (past.released and past.clean)
+        rows[partition] = _make_row(state, epoch, clean, witnesses)
+    return rows
+
+
+def _plan_takes(state: HostState, now: int) -> list[Partition]:
+    """Return the partitions that this host may take now."""
+    leases = state.limits.leases
+    if state.stopping or now - leases.started < SETTLE_US:
+        return []
+    partitions = list_partitions(state.inventory, state.failure_domain)
+    placed = place(partitions, list_alive(state, state.failure_domain, now))
+    takes = []
+    for partition in partitions:
+        watched = leases.watched.get(partition)
+        if watched is None or partition in leases.own:
+            continue
+        if _may_take(state, watched, placed.get(partition), now):
+            takes.append(partition)
+    return takes
+
+
+def _make_row(
+    state: HostState, epoch: int, clean: bool, witnesses: tuple[Witness, ...]
+) -> LeaseRow:
+    hold = HOLD_MAX_US if witnesses else HOLD_ALONE_US
+    return LeaseRow(
+        holder=state.host,
+        incarnation=state.incarnation,
+        epoch=epoch,
+        duration=LEASE_US,
+        hold=hold,
+        witnesses=witnesses,
+        clean=clean,
+    )
+
+
+def _is_clean(lease: OwnLease, now: int) -> bool:
+    return lease.clean or now - lease.taken > LONGEST_DEADLINE_US
+
+
+def _pick_leaving(state: HostState, placed, now: int) -> list[Partition]:
+    """Return the held partitions to give up: all on a stop, else one at a time."""
+    leases = state.limits.leases
+    if state.stopping:
+        return [] if state.requests.open else list(leases.own)
+    if now - leases.moved < MOVE_INTERVAL_US:
+        return []
+    for partition in leases.own:
+        if placed.get(partition, state.host) != state.host:
+            leases.moved = now
+            return [partition]
+    return []
+
+
+def _may_take(
+    state: HostState, watched: WatchedRow, placed: str | None, now: int
+) -> bool:
+    free = compute_free_from(state, watched)
+    if placed != state.host:
+        free += COURTESY_US
+    return now >= free
+
+
+def compute_free_from(state: HostState, watched: WatchedRow) -> int:
+    """Return the time from which this host may take a partition over."""
+    row = watched.row
+    if row is None or row.released:
+        return watched.seen
+    free = watched.seen + row.duration + DRIFT_US
+    if Witness(state.host, state.incarnation) not in row.witnesses:
+        free += row.hold + row.hold // 100
+    return free
+
+
+def _watch(
+    state: HostState, pending: PendingRenewal, result: TransactionResult, now: int
+) -> None:
+    leases = state.limits.leases
+    for partition, read in zip(pending.reads, result.rows, strict=True):
+        known = leases.watched.get(partition)
+        if known is None or known.version != read.version:
+            leases.watched[partition] = WatchedRow(_parse(read), read.version, now)
+        lease = leases.own.get(partition)
+        row = leases.watched[partition].row
+        if lease is None:
+            continue
+        if not _is_own(state, row) or row.epoch != lease.epoch:
+            del leases.own[partition]
+            if lease.announced:
+                state.emit(LeaseLost(now, partition, lease.epoch))
+
+
+def _parse(read: Row) -> LeaseRow | None:
+    return None if read.value is None else LeaseRow.from_text(read.value)
+
+
+def _is_own(state: HostState, row: LeaseRow | None) -> bool:
+    return row is not None and row.is_held_by(state.host, state.incarnation)
+
+
+def _adopt(state: HostState, now: int) -> None:
+    """Keep rows that name this run, also if the answer to the write was lost."""
+    leases = state.limits.leases
+    for partition, watched in leases.watched.items():
+        if partition not in leases.own and _is_own(state, watched.row):
+            row = watched.row
+            lease = OwnLease(row.epoch, row.clean, now, frozenset(row.witnesses))
+            leases.own[partition] = lease
+
+
+def _confirm(state: HostState, pending: PendingRenewal, now: int) -> None:
+    leases = state.limits.leases
+    jitter = state.draw(RENEW_JITTER_US)
+    leases.next_renewal = pending.sent + RENEW_INTERVAL_US + jitter
+    settled_at = leases.started + SETTLE_US
+    if pending.sent < settled_at:
+        leases.next_renewal = settled_at
+    leases.settled = pending.sent >= settled_at
+    if _plan_takes(state, now):
+        _plan_retry(state, now)
+    for partition, row in pending.rows.items():
+        if row.released:
+            continue
+        lease = leases.own[partition]
+        lease.witnesses = frozenset(row.witnesses)
+        lease.valid_until = max(lease.valid_until, pending.sent + row.duration)
+        if not lease.announced:
+            lease.announced = True
+            state.emit(LeaseTaken(now, partition, lease.epoch, lease.clean))
+
+
+EVENT_HANDLERS = {
+    Tick: handle_tick,
+    TransactionEnded: handle_transaction_ended,
+    LeaseTaken: handle_lease_taken,
+    LeaseLost: handle_lease_lost,
+}
--- a/packages/almondgap-core/almondgap_core/reducer.py
+++ b/packages/almondgap-core/almondgap_core/reducer.py
@@ -7,7 +7,7 @@
 from almondgap_core import lifecycle
 from almondgap_core.effects import Effect
 from almondgap_core.events import Event, PeerMessage
-from almondgap_core.limits import admission
+from almondgap_core.limits import admission, notices, renewal
 from almondgap_core.membership import heartbeats
 from almondgap_core.messages import Message
 from almondgap_core.requests import flow
@@ -19,10 +19,19 @@
 MessageHandler = Callable[[HostState, str, Message, int], None]
 
 #: Modules that handle events, in the order in which they see the same event.
-EVENT_MODULES = (heartbeats, rollout, admission, targets, flow, lifecycle)
+EVENT_MODULES = (
+    heartbeats,
+    rollout,
+    renewal,
+    notices,
+    admission,
+    targets,
+    flow,
+    lifecycle,
+)
 
 #: Modules that handle messages from other hosts.
-MESSAGE_MODULES = (heartbeats,)
+MESSAGE_MODULES = (heartbeats, notices)
 
 
 def _collect_event_handlers() -> dict[type[Event], tuple[EventHandler, ...]]:
--- a/packages/almondgap-daemon/almondgap_daemon/operators.py
+++ b/packages/almondgap-daemon/almondgap_daemon/operators.py
@@ -38,7 +38,9 @@
     @app.route("/v1/ready")
     def ready(self, request):
         """Tell whether this host serves."""
-        ready = self.node.state.inventory is not None and not self.node.state.stopping
+        state = self.node.state
+        ready = state.inventory is not None and not state.stopping
+        ready = ready and state.limits.leases.settled
         if not ready:
             request.setResponseCode(503)
         return _answer(request, {"ready": ready})
--- a/packages/almondgap-testkit/almondgap_testkit/builders.py
+++ b/packages/almondgap-testkit/almondgap_testkit/builders.py
@@ -4,10 +4,13 @@
 
 import copy
 import json
+import sys
 from typing import Any
 
 from almondgap_core.events import HostEntry, RequestArrived
 from almondgap_core.keys.credential import Credential, compute_digest
+from almondgap_core.limits.partitions import list_partitions
+from almondgap_core.limits.state import OwnLease
 from almondgap_core.settings.inventory import Inventory
 from almondgap_core.settings.reader import Report
 from almondgap_core.state import HostState
@@ -82,9 +85,18 @@
     state.settings.inventory = inventory or build_inventory()
     state.settings.version = 1
     state.members.listed = {HOST: build_entry()}
+    hold_all(state)
     return state
 
 
+def hold_all(state: HostState) -> None:
+    """Let a host hold every partition of its failure domain for a very long time."""
+    leases = state.limits.leases
+    for partition in list_partitions(state.inventory, state.failure_domain):
+        lease = OwnLease(1, True, 0, valid_until=sys.maxsize, announced=True)
+        leases.own[partition] = lease
+
+
 def build_arrival(
     now: int = 0, req_id: str = "r1", method: str = "GET", key: str | None = KEY
 ) -> RequestArrived:
--- a/packages/almondgap-testkit/almondgap_testkit/fakes/world.py
+++ b/packages/almondgap-testkit/almondgap_testkit/fakes/world.py
@@ -136,6 +136,14 @@
         """End a host at once."""
         self.hosts[name].state = None
 
+    def drain(self, name: str) -> None:
+        """Begin a host's planned stop."""
+
+        def begin() -> None:
+            self._feed(name, events.DrainRequested(self.read_clock(name)))
+
+        self._enter(name, self.hosts[name].state, begin)
+
     def pause(self, name: str) -> None:
         """Stop a host's loop; what arrives waits."""
         self.hosts[name].paused = True
