--- a/packages/almondgap-testkit/almondgap_testkit/fakes/world.py
+++ b/packages/almondgap-testkit/almondgap_testkit/fakes/world.py
@@ -5,9 +5,10 @@
 import random
 from collections.abc import Callable
 
-from attrs import Factory, define
+from attrs import Factory, define, frozen
 
 from almondgap_core import effects, events
+from almondgap_core.eventlog import EventLog
 from almondgap_core.keys.credential import Credential
 from almondgap_core.messages import decode, encode
 from almondgap_core.platform import (
@@ -15,6 +16,7 @@
     compute_object_name,
 )
 from almondgap_core.reducer import step
+from almondgap_core.requests.flow import IDEMPOTENT_METHODS
 from almondgap_core.settings.head import HEAD, Head, plan_head_change
 from almondgap_core.settings.inventory import Inventory
 from almondgap_core.settings.rollout import load_inventory
@@ -50,12 +52,28 @@
     cut: bool = False
 
 
+@frozen
+class Attempted:
+    """One attempt that a host began.
+
+    :ivar at: time of the world, in microseconds.
+    """
+
+    at: int
+    host: str
+    req_id: str
+    attempt: int
+    account: str
+    target: str
+
+
 @define
 class FakeHost:
     """One reducer, its clock and whether it runs.
 
     :ivar offset: its monotonic clock minus the world's, in microseconds.
     :ivar inbox: what waits while the host is paused.
+    :ivar log: what this run of the host was fed, if events are kept.
     """
 
     entry: events.HostEntry
@@ -63,17 +81,22 @@
     offset: int
     paused: bool = False
     inbox: list[Callable[[], None]] = Factory(list)
-    log: list[events.Event] = Factory(list)
+    log: EventLog | None = None
 
 
 class World:
     """Everything that one run needs.
 
     :ivar answers: what callers got, by request identifier.
+    :ivar attempted: all attempts, in the order in which hosts began them.
+    :ivar runs: when each host's runs began and ended, after the world was made.
+    :ivar idempotent_labels: labels of requests that may run more than once.
     :ivar keep_events: whether hosts' events are kept for replay.
     """
 
-    def __init__(self, text: str, hosts: dict[str, str], seed: int = 1) -> None:
+    def __init__(
+        self, text: str, hosts: dict[str, str], seed: int = 1, keep_events: bool = False
+    ) -> None:
         """Make a world that stands still.
 
         :param text: text of the inventory.
@@ -90,7 +113,10 @@
         self.hosts: dict[str, FakeHost] = {}
         self.answers: dict[str, FakeAnswer] = {}
         self.labels: dict[str, str] = {}
-        self.keep_events = False
+        self.attempted: list[Attempted] = []
+        self.runs: dict[str, list[tuple[int, str]]] = {}
+        self.idempotent_labels: set[str] = set()
+        self.keep_events = keep_events
         self.listed: tuple[events.HostEntry, ...] = ()
         self._incarnations = 0
         self.apply(text)
@@ -123,10 +149,12 @@
         """Start a host with nothing in memory."""
         host = self.hosts[name]
         self._incarnations += 1
+        self.runs.setdefault(name, []).append((self.clock.now, "begin"))
         domain = host.entry.failure_domain
         seed = self.rng.getrandbits(60)
         state = HostState(name, domain, self._incarnations, seed=seed)
         host.state = state
+        host.log = EventLog(name, domain, self._incarnations, seed)
         host.paused = False
         host.inbox.clear()
         self._tick(name, state)
@@ -134,6 +162,8 @@
 
     def crash(self, name: str) -> None:
         """End a host at once."""
+        if self.hosts[name].state is not None:
+            self.runs[name].append((self.clock.now, "end"))
         self.hosts[name].state = None
 
     def drain(self, name: str) -> None:
@@ -176,6 +206,8 @@
         req_id = f"r{len(self.answers) + 1}"
         self.answers[req_id] = FakeAnswer(host, account, self.clock.now)
         self.labels[req_id] = label or req_id
+        if method in IDEMPOTENT_METHODS:
+            self.idempotent_labels.add(self.labels[req_id])
         credential = self._find_credential(account)
 
         def arrive() -> None:
@@ -184,7 +216,7 @@
             arrival = events.RequestArrived(
                 now, req_id, service, method, credential, deadline, **extra
             )
-            self._feed(host, arrival)
+            self.feed(host, arrival)
 
         if self.hosts[host].state is not None:
             self._enter(host, self.hosts[host].state, arrive)
@@ -210,16 +242,17 @@
             return
         action()
 
-    def _feed(self, name: str, event: events.Event) -> None:
+    def feed(self, name: str, event: events.Event) -> None:
+        """Let a host's reducer handle an event and perform what it wants done."""
         host = self.hosts[name]
         if self.keep_events:
-            host.log.append(event)
+            host.log.events.append(event)
         for effect in step(host.state, event):
             self._perform(name, host.state, effect)
 
     def _tick(self, name: str, state: HostState) -> None:
         def tick() -> None:
-            self._feed(name, events.Tick(self.read_clock(name)))
+            self.feed(name, events.Tick(self.read_clock(name)))
             self.clock.call_later(TICK_US, lambda: self._tick(name, state))
 
         self._enter(name, state, tick)
@@ -228,7 +261,7 @@
         def listed() -> None:
             place = self.hosts[name].entry.failure_domain
             if not self.platform.down and not self.network.is_cut(place, PLATFORM):
-                self._feed(name, events.HostsListed(self.read_clock(name), self.listed))
+                self.feed(name, events.HostsListed(self.read_clock(name), self.listed))
             self.clock.call_later(HOST_LIST_US, lambda: self._list_hosts(name, state))
 
         self._enter(name, state, listed)
@@ -241,6 +274,8 @@
                 self._transact(name, state, effect)
             case effects.FetchBody():
                 self._fetch(name, state, effect)
+            case effects.FetchObject():
+                self._fetch_object(name, state, effect.name)
             case effects.WakeAt():
                 self._wake(name, state, effect.at)
             case effects.Dispatch():
@@ -274,7 +309,7 @@
 
         def arrive() -> None:
             now = self.read_clock(effect.host)
-            self._feed(effect.host, events.PeerMessage(now, name, message))
+            self.feed(effect.host, events.PeerMessage(now, name, message))
 
         self.network.carry(one, receiver.entry.failure_domain, deliver)
 
@@ -284,7 +319,7 @@
 
         def arrive(result) -> None:
             now = self.read_clock(name)
-            self._feed(name, events.TransactionEnded(now, effect.ticket, result))
+            self.feed(name, events.TransactionEnded(now, effect.ticket, result))
 
         place = self.hosts[name].entry.failure_domain
         self.platform.transact(place, effect.transaction, report)
@@ -296,19 +331,38 @@
         def arrive(body: bytes | None) -> None:
             text = None if body is None else body.decode()
             now = self.read_clock(name)
-            self._feed(name, events.BodyFetched(now, effect.version, text))
+            self.feed(name, events.BodyFetched(now, effect.version, text))
 
         place = self.hosts[name].entry.failure_domain
         self.platform.fetch(place, effect.body, report)
 
+    def _fetch_object(self, name: str, state: HostState, wanted: str) -> None:
+        def report(body: bytes | None) -> None:
+            self._enter(name, state, lambda: arrive(body))
+
+        def arrive(body: bytes | None) -> None:
+            self._feed(name, events.ObjectFetched(self.read_clock(name), wanted, body))
+
+        place = self.hosts[name].entry.failure_domain
+        self.platform.fetch(place, wanted, report)
+
     def _wake(self, name: str, state: HostState, at: int) -> None:
         def wake() -> None:
-            self._feed(name, events.Tick(self.read_clock(name)))
+            self.feed(name, events.Tick(self.read_clock(name)))
 
         due = at - self.hosts[name].offset
         self.clock.call_at(due, lambda: self._enter(name, state, wake))
 
     def _dispatch(self, name: str, state: HostState, effect: effects.Dispatch) -> None:
+        attempted = Attempted(
+            self.clock.now,
+            name,
+            effect.req_id,
+            effect.attempt,
+            effect.account,
+            effect.target.name,
+        )
+        self.attempted.append(attempted)
         target = self.targets[effect.target.name]
         here = self.hosts[name].entry.failure_domain
         there = effect.target.failure_domain
@@ -323,9 +377,9 @@
             now = self.read_clock(name)
             key = (effect.req_id, effect.attempt)
             if isinstance(progress, int):
-                self._feed(name, events.AnswerStarted(now, *key, progress))
+                self.feed(name, events.AnswerStarted(now, *key, progress))
             else:
-                self._feed(name, events.AttemptEnded(now, *key, progress))
+                self.feed(name, events.AttemptEnded(now, *key, progress))
 
         if self.network.is_cut(here, there):
             report(events.AttemptOutcome.NOT_SENT)
@@ -340,7 +394,7 @@
             now = self.read_clock(name)
             outcome = events.AttemptOutcome.TIMED_OUT
             ended = events.AttemptEnded(now, effect.req_id, effect.attempt, outcome)
-            self._feed(name, ended)
+            self.feed(name, ended)
 
         due = effect.deadline - self.hosts[name].offset
         self.clock.call_at(due, lambda: self._enter(name, state, give_up))
