--- a/packages/almondgap-core/almondgap_core/lifecycle.py
+++ b/packages/almondgap-core/almondgap_core/lifecycle.py
@@ -4,6 +4,7 @@
 
 from almondgap_core.effects import LogEntry, Stopped
 from almondgap_core.events import DrainRequested, Tick
+from almondgap_core.limits.renewal import is_handed_over
 from almondgap_core.operations.handover import move_books
 from almondgap_core.stages import Stage
 from almondgap_core.state import HostState
@@ -44,7 +45,7 @@
         _drain(state, event.now)
     elif stage is Stage.MOVING:
         _move(state, event.now)
-    elif not state.requests.open:
+    elif not state.requests.open and is_handed_over(state, event.now):
         _stop(state, event.now)
 
 
--- a/packages/almondgap-core/almondgap_core/reducer.py
+++ b/packages/almondgap-core/almondgap_core/reducer.py
@@ -7,7 +7,7 @@
 from almondgap_core import lifecycle
 from almondgap_core.effects import Effect
 from almondgap_core.events import Event, PeerMessage
-from almondgap_core.limits import admission
+from almondgap_core.limits import admission, notices, renewal
 from almondgap_core.membership import heartbeats
 from almondgap_core.messages import Message
 from almondgap_core.operations import asking, books, handover, holder, minting
@@ -23,6 +23,8 @@
 EVENT_MODULES = (
     heartbeats,
     rollout,
+    renewal,
+    notices,
     books,
     handover,
     minting,
@@ -34,7 +36,7 @@
 )
 
 #: Modules that handle messages from other hosts.
-MESSAGE_MODULES = (heartbeats, holder, asking, handover, minting)
+MESSAGE_MODULES = (heartbeats, notices, holder, asking, handover, minting)
 
 
 def _collect_event_handlers() -> dict[type[Event], tuple[EventHandler, ...]]:
