--- a/packages/almondgap-testkit/almondgap_testkit/fakes/payments.py
+++ b/packages/almondgap-testkit/almondgap_testkit/fakes/payments.py
@@ -70,6 +70,13 @@
             payments.run(3)
             yield payments
 
+    @classmethod
+    def begin_with_table(cls, seed: int = 1, hosts=None) -> Payments:
+        """Return a fleet that serves and holds its leases by rows of the table."""
+        payments = cls(seed, hosts)
+        payments.run(5)
+        return payments
+
     def run(self, duration_s: float) -> None:
         """Let seconds pass."""
         self.world.run(seconds(duration_s))
