Tell failure domains apart in heartbeats and spread their loads

Cause: every host sent a heartbeat to every other, which grows with the square of the fleet, and nobody knew the load or the holders of another failure domain.

Ruled out: a full mesh (400 streams a daemon); counterparts that rotate over all hosts (also 400 streams); whole directories in each report (about 220 bytes each).

Change: heartbeats each second inside a failure domain; to each other one, two paired links that take turns, with the domain's added-up load and a digest of its directory, which is asked for only when digests differ. Suspicion comes from heartbeats of the latest incarnation, never from the platform's list.

--- a/packages/almondgap-core/almondgap_core/membership/heartbeats.py
+++ b/packages/almondgap-core/almondgap_core/membership/heartbeats.py
@@ -4,34 +4,86 @@
 
 from almondgap_core.effects import SendMessage
 from almondgap_core.events import HostsListed, Tick
-from almondgap_core.membership.messages import Heartbeat
+from almondgap_core.limits.partitions import Partition
+from almondgap_core.membership.directory import (
+    compare_digest,
+    compute_digest,
+    forget_old,
+    list_held,
+    note_holding,
+)
+from almondgap_core.membership.links import LINKS_PER_DOMAIN, list_links
+from almondgap_core.membership.messages import DomainReport, Heartbeat
 from almondgap_core.membership.state import Peer
+from almondgap_core.membership.summary import (
+    LoadSummary,
+    ServiceLoad,
+    merge_loads,
+    pack_loads,
+    unpack_loads,
+)
 from almondgap_core.state import HostState
-from almondgap_core.units import MICROS_PER_SECOND
+from almondgap_core.steering.loads import measure_loads
+from almondgap_core.units import MICROS_PER_MILLI, MICROS_PER_SECOND
 
 HEARTBEAT_INTERVAL_US = MICROS_PER_SECOND
 
+#: Silence after which a host of the same failure domain is suspected.
+SUSPICION_US = 3 * MICROS_PER_SECOND
+
+#: The same for a host of another failure domain, which speaks less often.
+FAR_SUSPICION_US = LINKS_PER_DOMAIN * SUSPICION_US
+
+
+def is_alive(state: HostState, host: str, now: int) -> bool:
+    """Return whether a host was heard lately.
+
+    A suspicion, never evidence: nobody's safety may depend on it. Hosts of other
+    failure domains that have no link to this one are never heard.
+    """
+    if host == state.host:
+        return True
+    peer = state.members.peers.get(host)
+    if peer is None:
+        return False
+    entry = state.members.listed.get(host)
+    near = entry is None or entry.failure_domain == state.failure_domain
+    return now - peer.heard <= (SUSPICION_US if near else FAR_SUSPICION_US)
+
 
 def handle_tick(state: HostState, event: Tick) -> None:
-    """Send a heartbeat to every other host when it is time."""
+    """Send heartbeats and reports when it is time."""
     members = state.members
     if event.now < members.next_heartbeat:
         return
     members.next_heartbeat = event.now + HEARTBEAT_INTERVAL_US
-    message = Heartbeat(state.incarnation, state.settings.version, state.stopping)
-    for host in members.listed:
-        if host != state.host:
-            state.perform(SendMessage(host, message))
+    loads = measure_loads(state, event.now)
+    _send_heartbeats(state, loads, event.now)
+    _send_reports(state, loads, event.now)
+    forget_old(state, event.now)
+    members.beats += 1
 
 
 def handle_heartbeat(state: HostState, host: str, message: Heartbeat, now: int) -> None:
     """Note that the sender is alive; a past run of it is ignored."""
-    known = state.members.peers.get(host)
-    if known is not None and known.incarnation > message.incarnation:
+    if not _note_peer(state, host, message, now):
         return
-    state.members.peers[host] = Peer(
-        message.incarnation, now, message.version, message.stopping
-    )
+    state.members.peers[host].loads = unpack_loads(message.loads)
+    for index, epoch in zip(message.held[::2], message.held[1::2], strict=False):
+        partition = Partition(state.failure_domain, index)
+        note_holding(state, partition, host, epoch, now)
+
+
+def handle_report(state: HostState, host: str, message: DomainReport, now: int) -> None:
+    """Note the load of another failure domain and check the directory."""
+    entry = state.members.listed.get(host)
+    if entry is None or not _note_peer(state, host, message, now):
+        return
+    domain = entry.failure_domain
+    services = merge_loads(unpack_loads(message.loads))
+    age = max(message.age, 0) * MICROS_PER_MILLI
+    state.members.summaries[domain] = LoadSummary(services, now, age)
+    compare_digest(state, host, domain, message.digest, now)
 
 
 def handle_hosts_listed(state: HostState, event: HostsListed) -> None:
@@ -39,5 +91,65 @@
     state.members.listed = {entry.name: entry for entry in event.hosts}
 
 
+def _note_peer(state: HostState, host: str, message, now: int) -> bool:
+    known = state.members.peers.get(host)
+    if known is not None and known.incarnation > message.incarnation:
+        return False
+    loads = known.loads if known and known.incarnation == message.incarnation else ()
+    state.members.peers[host] = Peer(
+        message.incarnation, now, message.version, message.stopping, loads
+    )
+    return True
+
+
+def _send_heartbeats(state: HostState, loads: list[ServiceLoad], now: int) -> None:
+    held = list_held(state, now)
+    for partition, epoch in held:
+        note_holding(state, partition, state.host, epoch, now)
+    message = Heartbeat(
+        state.incarnation,
+        state.settings.version,
+        state.stopping,
+        tuple(value for part, epoch in held for value in (part.index, epoch)),
+        pack_loads(loads),
+    )
+    for entry in state.members.listed.values():
+        if entry.failure_domain == state.failure_domain and entry.name != state.host:
+            state.perform(SendMessage(entry.name, message))
+
+
+def _send_reports(state: HostState, loads: list[ServiceLoad], now: int) -> None:
+    members = state.members
+    summary = _summarize_domain(state, loads, now)
+    members.summaries[state.failure_domain] = summary
+    report = DomainReport(
+        state.incarnation,
+        state.settings.version,
+        state.stopping,
+        summary.age // MICROS_PER_MILLI,
+        compute_digest(state, state.failure_domain),
+        pack_loads(summary.services.values()),
+    )
+    turn = members.beats % LINKS_PER_DOMAIN
+    links = list_links(state.host, state.failure_domain, members.listed, turn)
+    for host in links:
+        state.perform(SendMessage(host, report))
+
+
+def _summarize_domain(
+    state: HostState, loads: list[ServiceLoad], now: int
+) -> LoadSummary:
+    all_loads = list(loads)
+    age = 0
+    for name, peer in state.members.peers.items():
+        entry = state.members.listed.get(name)
+        if entry is None or entry.failure_domain != state.failure_domain:
+            continue
+        if is_alive(state, name, now):
+            all_loads.extend(peer.loads)
+            age = max(age, now - peer.heard)
+    return LoadSummary(merge_loads(all_loads), now, age)
+
+
 EVENT_HANDLERS = {Tick: handle_tick, HostsListed: handle_hosts_listed}
-MESSAGE_HANDLERS = {Heartbeat: handle_heartbeat}
+MESSAGE_HANDLERS = {Heartbeat: handle_heartbeat, DomainReport: handle_report}
--- a/packages/almondgap-core/almondgap_core/reducer.py
+++ b/packages/almondgap-core/almondgap_core/reducer.py
@@ -8,7 +8,7 @@
 from almondgap_core.effects import Effect
 from almondgap_core.events import Event, PeerMessage
 from almondgap_core.limits import admission
-from almondgap_core.membership import heartbeats
+from almondgap_core.membership import directory, heartbeats
 from almondgap_core.messages import Message
 from almondgap_core.requests import flow
 from almondgap_core.settings import rollout
@@ -22,7 +22,7 @@
 EVENT_MODULES = (heartbeats, rollout, admission, targets, flow, lifecycle)
 
 #: Modules that handle messages from other hosts.
-MESSAGE_MODULES = (heartbeats,)
+MESSAGE_MODULES = (heartbeats, directory)
 
 
 def _collect_event_handlers() -> dict[type[Event], tuple[EventHandler, ...]]:
--- a/packages/almondgap-testkit/almondgap_testkit/fakes/world.py
+++ b/packages/almondgap-testkit/almondgap_testkit/fakes/world.py
@@ -29,6 +29,9 @@
 TICK_US = millis(50)
 HOST_LIST_US = seconds(2)
 
+#: Bytes of the length in front of a message on a stream.
+LENGTH_BYTES = 4
+
 #: Clocks of hosts differ by up to this, in microseconds.
 CLOCK_OFFSET_US = seconds(1_000)
 
@@ -70,6 +73,7 @@
     """Everything that one run needs.
 
     :ivar answers: what callers got, by request identifier.
+    :ivar sent_bytes: bytes of messages that each host sent, with their lengths.
     :ivar keep_events: whether hosts' events are kept for replay.
     """
 
@@ -91,6 +95,7 @@
         self.answers: dict[str, FakeAnswer] = {}
         self.labels: dict[str, str] = {}
         self.keep_events = False
+        self.sent_bytes: dict[str, int] = {}
         self.listed: tuple[events.HostEntry, ...] = ()
         self._incarnations = 0
         self.apply(text)
@@ -256,7 +261,9 @@
         receiver = self.hosts.get(effect.host)
         if receiver is None:
             return
-        message = decode(encode(effect.message))
+        data = encode(effect.message)
+        self.sent_bytes[name] = self.sent_bytes.get(name, 0) + len(data) + LENGTH_BYTES
+        message = decode(data)
         one = self.hosts[name].entry.failure_domain
 
         def deliver() -> None:
