--- a/packages/almondgap-core/almondgap_core/reducer.py
+++ b/packages/almondgap-core/almondgap_core/reducer.py
@@ -8,7 +8,7 @@
 from almondgap_core.effects import Effect
 from almondgap_core.events import Event, PeerMessage
 from almondgap_core.limits import admission, notices, renewal
-from almondgap_core.membership import heartbeats
+from almondgap_core.membership import directory, heartbeats
 from almondgap_core.messages import Message
 from almondgap_core.operations import asking, books, handover, holder, minting
 from almondgap_core.requests import flow
@@ -36,7 +36,15 @@
 )
 
 #: Modules that handle messages from other hosts.
-MESSAGE_MODULES = (heartbeats, notices, holder, asking, handover, minting)
+MESSAGE_MODULES = (
+    heartbeats,
+    directory,
+    notices,
+    holder,
+    asking,
+    handover,
+    minting,
+)
 
 
 def _collect_event_handlers() -> dict[type[Event], tuple[EventHandler, ...]]:
