Map client blocks to sites in flat arrays, with bodies and deltas

Cause: a look-up has to know where its caller is, for 2.3 million blocks, within the memory of a small host. Ruled out: a prefix tree (one object a node); one array for the whole map, since a delta would copy it in one go and pause the loop; sending the whole body at each change. Change: overlapping prefixes become disjoint ranges when the map is built; ranges stand in chunks of arrays; a delta rebuilds only the chunks that it touches, one chunk in a turn of the loop; body and deltas are objects that the inventory names; a bad one is refused and the old map stays.

--- a/packages/almondgap-core/almondgap_core/reducer.py
+++ b/packages/almondgap-core/almondgap_core/reducer.py
@@ -13,13 +13,21 @@
 from almondgap_core.requests import flow
 from almondgap_core.settings import rollout
 from almondgap_core.state import HostState
-from almondgap_core.steering import targets
+from almondgap_core.steering import clientmap_rollout, targets
 
 EventHandler = Callable[[HostState, Event], None]
 MessageHandler = Callable[[HostState, str, Message, int], None]
 
 #: Modules that handle events, in the order in which they see the same event.
-EVENT_MODULES = (heartbeats, rollout, admission, targets, flow, lifecycle)
+EVENT_MODULES = (
+    heartbeats,
+    rollout,
+    clientmap_rollout,
+    admission,
+    targets,
+    flow,
+    lifecycle,
+)
 
 #: Modules that handle messages from other hosts.
 MESSAGE_MODULES = (heartbeats,)
--- /dev/null
+++ b/packages/almondgap-core/almondgap_core/steering/clientmap.py
@@ -0,0 +1,215 @@
+"""Client map: blocks of addresses to sites, in flat sorted arrays."""
+
+from __future__ import annotations
+
+from array import array
+from bisect import bisect_left, bisect_right
+from collections.abc import Iterator, Sequence
+from enum import Enum
+from ipaddress import IPv6Address
+
+from attrs import define, frozen
+
+from almondgap_core.settings.places import MAX_SITES
+
+#: Stands for "no site" in arrays of site numbers.
+NO_SITE = MAX_SITES
+
+#: Ranges in a chunk of a map as built; changes rebuild whole chunks.
+CHUNK_RANGES = 2_048
+
+_LOW_64 = 2**64 - 1
+_MAPPED_PREFIX = 0xFFFF
+_OCTETS = {str(number): number for number in range(256)}
+
+
+class Family(Enum):
+    """A family of addresses; the value is the number of bits of an address."""
+
+    IPV4 = 32
+    IPV6 = 128
+
+    @property
+    def end(self) -> int:
+        """One more than the greatest address."""
+        return 1 << self.value
+
+
+@frozen
+class Range:
+    """Neighbouring addresses of one site.
+
+    :ivar start: first address as an integer.
+    :ivar end: one more than the last address.
+    :ivar site: number of the site, or ``NO_SITE``.
+    """
+
+    start: int
+    end: int
+    site: int
+
+
+class NarrowStarts:
+    """First addresses of ranges in 32 bits each."""
+
+    def __init__(self, values: Sequence[int]) -> None:
+        self.values = array("I", values)
+
+    def __len__(self) -> int:
+        return len(self.values)
+
+    def __getitem__(self, index: int) -> int:
+        return self.values[index]
+
+    def find(self, address: int) -> int:
+        """Return the index of the last start that is not above ``address``."""
+        return bisect_right(self.values, address) - 1
+
+
+class WideStarts:
+    """First addresses of ranges in twice 64 bits each."""
+
+    def __init__(self, values: Sequence[int]) -> None:
+        self.high = array("Q", [value >> 64 for value in values])
+        self.low = array("Q", [value & _LOW_64 for value in values])
+
+    def __len__(self) -> int:
+        return len(self.high)
+
+    def __getitem__(self, index: int) -> int:
+        return self.high[index] << 64 | self.low[index]
+
+    def find(self, address: int) -> int:
+        """Return the index of the last start that is not above ``address``."""
+        high = address >> 64
+        last = bisect_right(self.high, high)
+        first = bisect_left(self.high, high, 0, last)
+        return bisect_right(self.low, address & _LOW_64, first, last) - 1
+
+
+@frozen(eq=False)
+class Chunk:
+    """Consecutive ranges; each reaches up to the start of the next.
+
+    :ivar starts: first addresses, strictly increasing.
+    :ivar sites: numbers of the sites, one for each start.
+    """
+
+    starts: NarrowStarts | WideStarts
+    sites: array
+
+    @classmethod
+    def from_pairs(cls, family: Family, pairs: Sequence[tuple[int, int]]) -> Chunk:
+        """Return the chunk with these starts and sites."""
+        kind = NarrowStarts if family is Family.IPV4 else WideStarts
+        sites = array("H", [site for _, site in pairs])
+        return cls(kind([start for start, _ in pairs]), sites)
+
+    def list_pairs(self) -> list[tuple[int, int]]:
+        """Return starts and sites."""
+        return [
+            (self.starts[index], self.sites[index]) for index in range(len(self.sites))
+        ]
+
+
+@define(eq=False)
+class FamilyTable:
+    """Ranges of one family in chunks.
+
+    The first range of a chunk starts at the chunk's bound, and the first bound is 0, so
+    that every address lies in exactly one range.
+
+    :ivar bounds: first address of each chunk.
+    """
+
+    family: Family
+    bounds: list[int]
+    chunks: list[Chunk]
+
+    @classmethod
+    def from_pairs(
+        cls, family: Family, pairs: Sequence[tuple[int, int]]
+    ) -> FamilyTable:
+        """Return the table with these starts and sites; the first start is 0."""
+        parts = [
+            pairs[index : index + CHUNK_RANGES]
+            for index in range(0, len(pairs), CHUNK_RANGES)
+        ]
+        chunks = [Chunk.from_pairs(family, part) for part in parts]
+        return cls(family, [part[0][0] for part in parts], chunks)
+
+    def find(self, address: int) -> int:
+        """Return the number of the site of an address, or ``NO_SITE``."""
+        chunk = self.chunks[bisect_right(self.bounds, address) - 1]
+        return chunk.sites[chunk.starts.find(address)]
+
+    def list_ranges(self) -> Iterator[Range]:
+        """Yield all ranges that have a site, neighbours of one site merged."""
+        begin, current = 0, NO_SITE
+        for chunk in self.chunks:
+            for start, site in chunk.list_pairs():
+                if site == current:
+                    continue
+                if current != NO_SITE:
+                    yield Range(begin, start, current)
+                begin, current = start, site
+        if current != NO_SITE:
+            yield Range(begin, self.family.end, current)
+
+    def count_ranges(self) -> int:
+        """Return how many ranges the table holds, those without a site included."""
+        return sum(len(chunk.sites) for chunk in self.chunks)
+
+
+@frozen(eq=False)
+class ClientMap:
+    """A client map, ready for look-ups.
+
+    :ivar sites: names of the sites; their index is their number.
+    """
+
+    sites: tuple[str, ...]
+    ipv4: FamilyTable
+    ipv6: FamilyTable
+
+    def find_site(self, address: str) -> str | None:
+        """Return the site of an address as text, or None for an unknown block.
+
+        :raises ValueError: the text is no IP number.
+        """
+        if ":" not in address:
+            site = self.ipv4.find(parse_ipv4(address))
+        else:
+            family, number = parse_address(address)
+            site = self.get_table(family).find(number)
+        return None if site == NO_SITE else self.sites[site]
+
+    def get_table(self, family: Family) -> FamilyTable:
+        """Return the table of a family."""
+        return self.ipv4 if family is Family.IPV4 else self.ipv6
+
+
+def parse_address(text: str) -> tuple[Family, int]:
+    """Return family and value of an IP number; IPv4 inside IPv6 counts as IPv4.
+
+    :raises ValueError: the text is no IP number.
+    """
+    if ":" not in text:
+        return Family.IPV4, parse_ipv4(text)
+    value = int(IPv6Address(text.partition("%")[0]))
+    if value >> 32 == _MAPPED_PREFIX:
+        return Family.IPV4, value & 0xFFFF_FFFF
+    return Family.IPV6, value
+
+
+def parse_ipv4(text: str) -> int:
+    """Return the value of an IPv4 number.
+
+    :raises ValueError: the text is no IPv4 number.
+    """
+    try:
+        one, two, three, four = text.split(".")
+        high = _OCTETS[one] << 24 | _OCTETS[two] << 16
+        return high | _OCTETS[three] << 8 | _OCTETS[four]
+    except (KeyError, ValueError):
+        raise ValueError(f"{text[:60]!r} is no IP number") from None
--- /dev/null
+++ b/packages/almondgap-core/almondgap_core/steering/clientmap_delta.py
@@ -0,0 +1,177 @@
+"""Deltas: what changed between two client maps, and applying it in slices."""
+
+from __future__ import annotations
+
+from bisect import bisect_left, bisect_right
+from collections.abc import Iterable, Iterator
+
+from attrs import Factory, define, frozen
+
+from almondgap_core.steering.clientmap import (
+    NO_SITE,
+    Chunk,
+    ClientMap,
+    Family,
+    FamilyTable,
+    Range,
+)
+
+
+@frozen
+class MapDelta:
+    """Changes to a map.
+
+    :ivar parent: object name of the body or delta that the changes follow.
+    :ivar sites: names of the sites after the change; old ones keep their number.
+    :ivar changes: by family, ranges in order that do not overlap, with the new site.
+    """
+
+    parent: str
+    sites: tuple[str, ...]
+    changes: dict[Family, tuple[Range, ...]]
+
+
+def compute_delta(old: ClientMap, new: ClientMap, parent: str) -> MapDelta:
+    """Return the changes that make ``old`` answer as ``new`` does."""
+    sites = dict.fromkeys((*old.sites, *new.sites))
+    numbers = {name: number for number, name in enumerate(sites)}
+    renumber = [numbers[name] for name in new.sites]
+    changes = {
+        family: tuple(
+            _merge(
+                _compare(old.get_table(family), new.get_table(family), renumber),
+            )
+        )
+        for family in Family
+    }
+    return MapDelta(parent, tuple(sites), changes)
+
+
+def _compare(old: FamilyTable, new: FamilyTable, renumber: list[int]):
+    before, after = _Cursor(old), _Cursor(new)
+    at = 0
+    while at < old.family.end:
+        end = min(before.end, after.end)
+        site = NO_SITE if after.site == NO_SITE else renumber[after.site]
+        if before.site != site:
+            yield Range(at, end, site)
+        at = end
+        before.pass_by(at)
+        after.pass_by(at)
+
+
+class _Cursor:
+    """Goes through the ranges of a table, those without a site included."""
+
+    def __init__(self, table: FamilyTable) -> None:
+        self._last = table.family.end
+        self._pairs = (pair for chunk in table.chunks for pair in chunk.list_pairs())
+        _, self._next_site = next(self._pairs)
+        self._advance()
+
+    def _advance(self) -> None:
+        self.site = self._next_site
+        self.end, self._next_site = next(self._pairs, (self._last, NO_SITE))
+
+    def pass_by(self, at: int) -> None:
+        if self.end <= at < self._last:
+            self._advance()
+
+
+def _merge(ranges: Iterable[Range]) -> Iterator[Range]:
+    held: Range | None = None
+    for found in ranges:
+        if held is not None and held.end == found.start and held.site == found.site:
+            held = Range(held.start, found.end, found.site)
+            continue
+        if held is not None:
+            yield held
+        held = found
+    if held is not None:
+        yield held
+
+
+@define
+class DeltaWork:
+    """A delta that is being applied, one chunk a step; the old map stays as it is.
+
+    :ivar tables: copies of the tables that share the chunks not yet rebuilt.
+    """
+
+    delta: MapDelta
+    tables: dict[Family, FamilyTable]
+    _steps: list[tuple[Family, int, list[Range]]] = Factory(list)
+
+    @classmethod
+    def begin(cls, old: ClientMap, delta: MapDelta) -> DeltaWork:
+        """Return the work that applies ``delta`` to ``old``."""
+        tables = {}
+        steps = []
+        for family in Family:
+            table = old.get_table(family)
+            copy = FamilyTable(family, table.bounds, list(table.chunks))
+            tables[family] = copy
+            steps += _split(copy, delta.changes.get(family, ()))
+        steps.reverse()
+        return cls(delta, tables, steps)
+
+    def step(self) -> ClientMap | None:
+        """Rebuild one chunk; return the new map once all are done."""
+        if self._steps:
+            family, index, changes = self._steps.pop()
+            table = self.tables[family]
+            end = (*table.bounds, family.end)[index + 1]
+            table.chunks[index] = _rebuild(family, table.chunks[index], changes, end)
+        if self._steps:
+            return None
+        tables = self.tables
+        return ClientMap(self.delta.sites, tables[Family.IPV4], tables[Family.IPV6])
+
+
+def apply_delta(old: ClientMap, delta: MapDelta) -> ClientMap:
+    """Return ``old`` with the changes, at once."""
+    work = DeltaWork.begin(old, delta)
+    while True:
+        done = work.step()
+        if done is not None:
+            return done
+
+
+def _split(table: FamilyTable, changes: Iterable[Range]):
+    """Return the changes that each touched chunk sees, cut at its bounds."""
+    parts: dict[int, list[Range]] = {}
+    ends = [*table.bounds[1:], table.family.end]
+    for change in changes:
+        index = bisect_right(table.bounds, change.start) - 1
+        start = change.start
+        while start < change.end:
+            end = min(change.end, ends[index])
+            parts.setdefault(index, []).append(Range(start, end, change.site))
+            start = end
+            index += 1
+    return [(table.family, index, found) for index, found in sorted(parts.items())]
+
+
+def _rebuild(family: Family, chunk: Chunk, changes: list[Range], end: int) -> Chunk:
+    """Return the chunk with the changes; its bound keeps a range of its own."""
+    pairs = chunk.list_pairs()
+    starts = [start for start, _ in pairs]
+    for change in reversed(changes):
+        first = bisect_left(starts, change.start)
+        last = bisect_left(starts, change.end)
+        after = pairs[last - 1][1]
+        piece = [(change.start, change.site)]
+        follows = pairs[last][0] if last < len(pairs) else end
+        if change.end < follows:
+            piece.append((change.end, after))
+        pairs[first:last] = piece
+        starts[first:last] = [start for start, _ in piece]
+    return Chunk.from_pairs(family, list(_drop_repeats(pairs)))
+
+
+def _drop_repeats(pairs: list[tuple[int, int]]) -> Iterator[tuple[int, int]]:
+    last = None
+    for start, site in pairs:
+        if site != last:
+            yield start, site
+            last = site
--- a/packages/almondgap-core/almondgap_core/steering/state.py
+++ b/packages/almondgap-core/almondgap_core/steering/state.py
@@ -4,12 +4,41 @@
 
 from attrs import Factory, define
 
+from almondgap_core.settings.places import ClientMapRef
+from almondgap_core.steering.clientmap import ClientMap
+from almondgap_core.steering.clientmap_codec import DecodeWork
+from almondgap_core.steering.clientmap_delta import DeltaWork
+
+
+@define
+class MapLoading:
+    """A client map on its way into force.
+
+    :ivar wanted: what the inventory named when the loading began.
+    :ivar staged: what is complete of it, and ``staged_ref`` which version that is.
+    :ivar fetching: name of the object that was asked for, empty if none.
+    :ivar rejected: whether a body was bad; nothing more is tried until another map is
+        named.
+    """
+
+    wanted: ClientMapRef = ClientMapRef()
+    staged: ClientMap | None = None
+    staged_ref: ClientMapRef = ClientMapRef()
+    fetching: str = ""
+    work: DecodeWork | DeltaWork | None = None
+    rejected: bool = False
+    retry_at: int = 0
+
 
 @define
 class SteeringState:
     """Targets and places at one host.
 
     :ivar slots_used: requests that this host runs at each target.
+    :ivar client_map: the map in force, or None, and ``client_map_ref`` its version.
     """
 
     slots_used: dict[str, int] = Factory(dict)
+    client_map: ClientMap | None = None
+    client_map_ref: ClientMapRef = ClientMapRef()
+    map_loading: MapLoading = Factory(MapLoading)
--- a/packages/almondgap-testkit/almondgap_testkit/fakes/world.py
+++ b/packages/almondgap-testkit/almondgap_testkit/fakes/world.py
@@ -333,7 +333,7 @@
             self._enter(name, state, lambda: arrive(body))
 
         def arrive(body: bytes | None) -> None:
-            self._feed(name, events.ObjectFetched(self.read_clock(name), wanted, body))
+            self.feed(name, events.ObjectFetched(self.read_clock(name), wanted, body))
 
         place = self.hosts[name].entry.failure_domain
         self.platform.fetch(place, wanted, report)
