--- a/packages/almondgap-core/almondgap_core/operations/minting.py
+++ b/packages/almondgap-core/almondgap_core/operations/minting.py
@@ -21,12 +21,10 @@
 OFFER_VALID_US = 15 * MICROS_PER_SECOND
 
 
-def mint_prefix(state: HostState, now: int) -> str:
-    """Return a prefix for a caller's next operations, empty if none is known."""
+def mint_prefixes(state: HostState, now: int) -> tuple[str, ...]:
+    """Return the prefixes for callers' next operations, none if none is known."""
     prefixes = _list_own(state, now) or _list_hinted(state, now)
-    if not prefixes:
-        return ""
-    return str(prefixes[state.draw(len(prefixes))])
+    return tuple(sorted(str(prefix) for prefix in prefixes))
 
 
 def handle_tick(state: HostState, event: Tick) -> None:
--- a/packages/almondgap-core/almondgap_core/reducer.py
+++ b/packages/almondgap-core/almondgap_core/reducer.py
@@ -8,13 +8,13 @@
 from almondgap_core.effects import Effect
 from almondgap_core.events import Event, PeerMessage
 from almondgap_core.limits import admission, notices, renewal
-from almondgap_core.membership import heartbeats
+from almondgap_core.membership import directory, heartbeats
 from almondgap_core.messages import Message
 from almondgap_core.operations import asking, books, handover, holder, minting
 from almondgap_core.requests import flow
 from almondgap_core.settings import rollout
 from almondgap_core.state import HostState
-from almondgap_core.steering import targets
+from almondgap_core.steering import clientmap_rollout, lookup, targets
 
 EventHandler = Callable[[HostState, Event], None]
 MessageHandler = Callable[[HostState, str, Message, int], None]
@@ -29,6 +29,8 @@
     handover,
     minting,
     asking,
+    clientmap_rollout,
+    lookup,
     admission,
     targets,
     flow,
@@ -36,7 +38,15 @@
 )
 
 #: Modules that handle messages from other hosts.
-MESSAGE_MODULES = (heartbeats, notices, holder, asking, handover, minting)
+MESSAGE_MODULES = (
+    heartbeats,
+    directory,
+    notices,
+    holder,
+    asking,
+    handover,
+    minting,
+)
 
 
 def _collect_event_handlers() -> dict[type[Event], tuple[EventHandler, ...]]:
