Decide the region plan at each host from aged loads

Cause: nothing moved callers away from a drained, lost or overloaded region. Ruled out: one host that plans for all, since it would have to be agreed on and a cut would leave others without a plan. Change: each host decides by itself from what failure domains report, moves only its exact part of each cap, and a quarter of its part of the room that it sees; look-ups use the shares. Hosts of other failure domains that are never heard one by one count as sound while their failure domain reports.

--- a/packages/almondgap-core/almondgap_core/reducer.py
+++ b/packages/almondgap-core/almondgap_core/reducer.py
@@ -14,7 +14,7 @@
 from almondgap_core.requests import flow
 from almondgap_core.settings import rollout
 from almondgap_core.state import HostState
-from almondgap_core.steering import clientmap_rollout, lookup, targets
+from almondgap_core.steering import clientmap_rollout, lookup, plan_rollout, targets
 
 EventHandler = Callable[[HostState, Event], None]
 MessageHandler = Callable[[HostState, str, Message, int], None]
@@ -30,6 +30,7 @@
     handover,
     minting,
     asking,
+    plan_rollout,
     lookup,
     admission,
     targets,
--- a/packages/almondgap-core/almondgap_core/steering/lookup.py
+++ b/packages/almondgap-core/almondgap_core/steering/lookup.py
@@ -9,6 +9,7 @@
 from almondgap_core.events import HostEntry, Tick
 from almondgap_core.exceptions import LookupRefused
 from almondgap_core.limits.division import rank
+from almondgap_core.membership.heartbeats import FAR_SUSPICION_US, is_alive
 from almondgap_core.operations.minting import mint_prefix
 from almondgap_core.state import HostState
 from almondgap_core.steering.answer import (
@@ -34,8 +35,8 @@
 #: End of an answer's body; the prefix changes more often than the rest.
 _PREFIX_TAIL = b', "operation_prefix": %s}\n'
 
-#: Silence after which a host is suspected.
-SUSPICION_US = 3 * MICROS_PER_SECOND
+#: Silence after which a host of another failure domain counts as never heard.
+FORGET_US = 60 * MICROS_PER_SECOND
 
 
 def look_up(
@@ -202,12 +203,22 @@
 
 
 def _is_sound(state: HostState, entry: HostEntry, now: int) -> bool:
+    """Return whether a host serves, as far as is known.
+
+    Most hosts of other failure domains are never heard one by one; they count as sound
+    while their failure domain reports, unless they were heard and fell silent lately.
+    """
     if entry.name == state.host:
         return not state.stopping
     peer = state.members.peers.get(entry.name)
-    if peer is None or peer.stopping:
+    if peer is not None and is_alive(state, entry.name, now):
+        return not peer.stopping
+    if entry.failure_domain == state.failure_domain:
+        return False
+    if peer is not None and now - peer.heard < FORGET_US:
         return False
-    return now - peer.heard <= SUSPICION_US
+    summary = state.members.summaries.get(entry.failure_domain)
+    return summary is not None and now - summary.heard <= FAR_SUSPICION_US
 
 
 EVENT_HANDLERS = {Tick: handle_tick}
--- a/packages/almondgap-core/almondgap_core/steering/state.py
+++ b/packages/almondgap-core/almondgap_core/steering/state.py
@@ -42,6 +42,7 @@
         ``prefix_tail``, the end that all their bodies share.
     :ivar counts: look-ups by flow.
     :ivar plan: the region plan in force, or None before the first decision.
+    :ivar counted_since: time since which ``counts`` count, 0 before the first turn.
     """
 
     slots_used: dict[str, int] = Factory(dict)
@@ -55,3 +56,4 @@
     counts: dict[FlowKey, LookupCount] = Factory(dict)
     plan: RegionPlan | None = None
     next_plan: int = 0
+    counted_since: int = 0
