--- a/packages/almondgap-core/almondgap_core/steering/plan_budgets.py
+++ b/packages/almondgap-core/almondgap_core/steering/plan_budgets.py
@@ -212,6 +212,6 @@
     for key, shares in flows.items():
         for region, share in shares.items():
             if region != REFUSED and (key.origin, region) in budgets.links:
-                rate = demand[key] * share // SHARE_UNIT
+                rate = -(-demand[key] * share // SHARE_UNIT)
                 bits = convert_to_bits(inventory, key.service, rate)
                 budgets.links[key.origin, region] -= bits
--- a/packages/almondgap-core/almondgap_core/steering/plan_decision.py
+++ b/packages/almondgap-core/almondgap_core/steering/plan_decision.py
@@ -95,7 +95,7 @@
                 kept = {r: s for r, s in known.items() if r in inventory.regions}
                 if known.get(REFUSED):
                     kept[REFUSED] = known[REFUSED]
-                flows[key] = _fill(inventory, inputs, standings, serving, key, kept)
+                flows[key] = _fill(inventory, standings, serving, key, kept)
                 before = 0 if previous is None else previous.demand.get(key, 0)
                 demand[key] = max(inputs.demand.get(key, 0), before // 2, 1)
         budgets = make_budgets(inventory, inputs, standings, previous, flows, demand)
@@ -219,27 +219,18 @@
         return share
 
 
-def _fill(inventory, inputs, standings, serving, key: FlowKey, kept: dict[str, int]):
+def _fill(inventory, standings, serving, key: FlowKey, kept: dict[str, int]):
     """Return shares that sum to the unit; what is missing goes to the first choice."""
     missing = SHARE_UNIT - sum(kept.values())
     if missing:
-        first = _choose_first(inventory, inputs, standings, serving, key)
+        first = _choose_first(inventory, standings, serving, key)
         kept[first] = kept.get(first, 0) + missing
     return kept
 
 
-def _choose_first(inventory, inputs, standings, serving, key: FlowKey) -> str:
-    """Return where a flow without a past begins: the nearest region that is sound."""
-    position = inventory.regions[key.origin].position
-    ranked = rank_regions(inventory, position)
+def _choose_first(inventory, standings, serving, key: FlowKey) -> str:
+    """Return where a flow without a past begins, as look-ups without a plan do."""
+    ranked = rank_regions(inventory, inventory.regions[key.origin].position)
     served = [name for name in ranked if name in serving[key.service]] or ranked
     sound = [n for n in served if standings[n].standing is not Standing.LOST]
-    staying = [n for n in sound if not inventory.regions[n].draining]
-    free = [
-        name
-        for name in staying
-        if name in inputs.loads
-        and inputs.loads[name].admitted
-        < find_limit(inventory, name, inputs.loads[name])
-    ]
-    return (free or staying or sound or served)[0]
+    return (sound or served)[0]
