--- a/packages/almondgap-core/almondgap_core/steering/answer.py
+++ b/packages/almondgap-core/almondgap_core/steering/answer.py
@@ -47,7 +47,7 @@
 class PreparedLookup:
     """The answer for callers of one site, ready to be sent.
 
-    :ivar body: the answer as JSON, up to the operation prefix.
+    :ivar body: the answer as JSON.
     :ivar refused_share: share of look-ups to refuse, out of ``SHARE_UNIT``.
     :ivar credit: what is due to be refused so far.
     """
--- a/packages/almondgap-core/almondgap_core/steering/lookup.py
+++ b/packages/almondgap-core/almondgap_core/steering/lookup.py
@@ -3,14 +3,15 @@
 from __future__ import annotations
 
 import json
+from zlib import crc32
 
-from attrs import Factory, asdict, define, evolve
+from attrs import Factory, asdict, define
 
 from almondgap_core.events import HostEntry, Tick
 from almondgap_core.exceptions import LookupRefused
 from almondgap_core.limits.division import rank
 from almondgap_core.membership.heartbeats import FAR_SUSPICION_US, is_alive
-from almondgap_core.operations.minting import mint_prefix
+from almondgap_core.operations.minting import mint_prefixes
 from almondgap_core.state import HostState
 from almondgap_core.steering.answer import (
     EntryHost,
@@ -32,9 +33,6 @@
 #: Time between two looks at what the answers were prepared from.
 REFRESH_US = millis(250)
 
-#: End of an answer's body; the prefix changes more often than the rest.
-_PREFIX_TAIL = b', "operation_prefix": %s}\n'
-
 #: Silence after which a host of another failure domain counts as never heard.
 FORGET_US = 60 * MICROS_PER_SECOND
 
@@ -46,8 +44,7 @@
 
     :param address: the caller's IP number as text, or None if it is not known.
     """
-    answer = _find_prepared(state, service, address, now).answer
-    return evolve(answer, operation_prefix=mint_prefix(state, now))
+    return _find_prepared(state, service, address, now).answer
 
 
 def look_up_body(state: HostState, service: str, address: str, now: int) -> bytes:
@@ -59,7 +56,7 @@
     prepared.count.asked += 1
     if prepared.refused_share and _is_refused(prepared):
         raise LookupRefused
-    return prepared.body + state.steering.prefix_tail
+    return prepared.body
 
 
 def handle_tick(state: HostState, event: Tick) -> None:
@@ -74,12 +71,11 @@
         None if plan is None else plan.decided,
         tuple(sorted(entry.name for entry in _list_available(state, event.now))),
         tuple(state.members.listed.values()),
+        mint_prefixes(state, event.now),
     )
     if stamp != steering.prepared_from:
         steering.prepared_from = stamp
         steering.prepared.clear()
-    prefix = mint_prefix(state, event.now)
-    steering.prefix_tail = _PREFIX_TAIL % json.dumps(prefix).encode()
 
 
 def _find_prepared(
@@ -121,15 +117,27 @@
     shares = {} if plan is None else dict(plan.find_shares(service, origin))
     refused = shares.pop(REFUSED, 0)
     hosts = _Chooser(state, service, origin, now).choose(shares, str(site))
-    answer = LookupAnswer(service, state.settings.version, hosts, inventory.lookup_ttl)
-    fields = asdict(answer)
-    del fields["operation_prefix"]
-    body = json.dumps(fields).encode().removesuffix(b"}")
+    answer = LookupAnswer(
+        service,
+        state.settings.version,
+        hosts,
+        inventory.lookup_ttl,
+        _choose_prefix(state, f"{service}/{site}", now),
+    )
+    body = json.dumps(asdict(answer)).encode() + b"\n"
     key = FlowKey(service, origin)
     count = state.steering.counts.setdefault(key, LookupCount())
     return PreparedLookup(answer, body, count, refused)
 
 
+def _choose_prefix(state: HostState, seed: str, now: int) -> str:
+    """Return what operation keys start with, empty if nobody would answer for them."""
+    prefixes = mint_prefixes(state, now)
+    if not prefixes:
+        return ""
+    return prefixes[crc32(seed.encode()) % len(prefixes)]
+
+
 @define
 class _Chooser:
     """Chooses entry hosts for one service and origin.
--- a/packages/almondgap-core/almondgap_core/steering/state.py
+++ b/packages/almondgap-core/almondgap_core/steering/state.py
@@ -38,8 +38,7 @@
 
     :ivar slots_used: requests that this host runs at each target.
     :ivar client_map: the map in force, or None, and ``client_map_ref`` its version.
-    :ivar prepared: answers by service and site, made from ``prepared_from``, and
-        ``prefix_tail``, the end that all their bodies share.
+    :ivar prepared: answers by service and site, made from ``prepared_from``.
     :ivar counts: look-ups by flow.
     :ivar plan: the region plan in force, or None before the first decision.
     :ivar counted_since: time since which ``counts`` count, 0 before the first turn.
@@ -51,7 +50,6 @@
     map_loading: MapLoading = Factory(MapLoading)
     prepared: dict[tuple[str, str | None], PreparedLookup] = Factory(dict)
     prepared_from: tuple = ()
-    prefix_tail: bytes = b', "operation_prefix": ""}\n'
     next_refresh: int = 0
     counts: dict[FlowKey, LookupCount] = Factory(dict)
     plan: RegionPlan | None = None
--- a/packages/almondgap-testkit/almondgap_testkit/scenarios/acts.py
+++ b/packages/almondgap-testkit/almondgap_testkit/scenarios/acts.py
@@ -44,6 +44,7 @@
 
     def _do_lose(self, share: float) -> None:
         self.world.network.loss = share
+        self.world.network.store_loss = share
 
     def _do_repeat(self, share: float) -> None:
         self.world.network.repeat = share
