Pool shares at a home under loans, and keep leases through an outage

Cause: each host used a fixed part of an account's rate, so a caller at one host was refused at a tenth of its rate; and a store outage ended every lease.

Ruled out: counters that hosts exchange (they admit too much); counting tokens that are under way to another host as spent (the bucket refills meanwhile, so that more than the burst can be admitted at once); a promise that does not name the epoch (a witness that took and lost the partition could give it).

The holder of a share offers it to the home of its limit, stops using it and lends it with its tokens; the home's use ends before the owner's wait by their own clocks. A host asks the home, then the owner beside it. Granted tokens count against the burst until they are reported or can be spent no longer. A request that one central bucket would have admitted waits for its token, others are refused at once. A holder without the store goes on while every witness of its row promises not to take; a first row after a lapse names no witness, so that a write that lands late opens no way around a promise.

--- a/packages/almondgap-core/almondgap_core/limits/admission.py
+++ b/packages/almondgap-core/almondgap_core/limits/admission.py
@@ -1,37 +1,220 @@
-"""Admission: a request takes a token of its client account."""
+"""Admission: a request takes a token, here or from the home of its limit."""
 
 from __future__ import annotations
 
-from almondgap_core.events import RateAsked, RateGranted, RateRefused
-from almondgap_core.limits.bucket import Bucket
-from almondgap_core.limits.division import divide
+from almondgap_core.effects import WakeAt
+from almondgap_core.events import CallerGone, RateAsked, RateGranted, RateRefused, Tick
+from almondgap_core.limits.asking import (
+    ask_host,
+    choose_host,
+    note_demand,
+    pick_spare,
+    send_used,
+    settle,
+    take_credit,
+)
+from almondgap_core.limits.catalogue import find_limit, name_account
+from almondgap_core.limits.granting import Decision, decide
+from almondgap_core.limits.homes import suspect
+from almondgap_core.limits.leases import CREDIT_US
+from almondgap_core.limits.messages import TokenAsk, TokenGrant
+from almondgap_core.limits.state import Ask, Credit, Waiter
 from almondgap_core.state import HostState
+from almondgap_core.units import MICROS_PER_SECOND, millis
+
+#: Longest time that a request inside the rate waits for its token.
+HOLD_US = millis(1000)
+
+#: Most requests of one host that wait for tokens.
+MAX_WAITERS = 2_000
+
+#: Wait for an answer before another host is asked.
+ASK_TIMEOUT_US = millis(150)
+
+#: Unanswered asks in a row after which a home is suspected.
+MAX_MISSES = 3
+
+#: Least time between two asks for one request.
+RETRY_US = millis(5)
 
 
 def handle_rate_asked(state: HostState, event: RateAsked) -> None:
-    """Take a token from this host's share or refuse."""
-    bucket = _find_bucket(state, event.account, event.now)
-    if bucket.take(event.now):
+    """Take a token from what is here, or wait for one from elsewhere."""
+    name = name_account(event.account)
+    asking = state.limits.asking
+    if find_limit(state.inventory, name) is None or len(asking.waiters) >= MAX_WAITERS:
+        refused = RateRefused(event.now, event.req_id, MICROS_PER_SECOND)
+        state.emit(refused)
+        return
+    note_demand(state, name, event.now)
+    if take_credit(state, name, event.now):
         state.emit(RateGranted(event.now, event.req_id))
+        return
+    deadline = min(event.deadline, event.now + HOLD_US)
+    waiter = Waiter(event.req_id, name, event.now, deadline)
+    asking.waiters[event.req_id] = waiter
+    _try(state, waiter, event.now)
+
+
+def handle_tick(state: HostState, event: Tick) -> None:
+    """Ask again for what waits, give up on lost asks and report spent tokens."""
+    asking = state.limits.asking
+    if state.inventory is None:
+        return
+    for number, ask in list(asking.asks.items()):
+        if event.now >= ask.sent + CREDIT_US:
+            del asking.asks[number]
+    for waiter in list(asking.waiters.values()):
+        if event.now >= waiter.due and waiter.req_id in asking.waiters:
+            _go_on(state, waiter, event.now)
+    send_used(state, event.now)
+
+
+def handle_caller_gone(state: HostState, event: CallerGone) -> None:
+    """Stop waiting; a token that still comes is kept for another request."""
+    state.limits.asking.waiters.pop(event.req_id, None)
+
+
+def handle_token_grant(
+    state: HostState, host: str, message: TokenGrant, now: int
+) -> None:
+    """Use what was granted, or wait as long as the granting host says."""
+    asking = state.limits.asking
+    ask = asking.asks.pop(message.number, None)
+    if ask is None or ask.host != host:
+        return
+    asking.misses.pop(host, None)
+    waiter = asking.waiters.get(ask.req_id)
+    if message.tokens:
+        _accept(state, ask, message, waiter, now)
+    elif waiter is not None and waiter.number == message.number:
+        wait = None if message.wait < 0 else message.wait
+        _refuse_or_wait(
+            state, waiter, ask.home, Decision(0, wait, bool(message.hold)), now
+        )
+
+
+def _try(state: HostState, waiter: Waiter, now: int) -> None:
+    """Decide here if this host is the one to ask, else ask."""
+    host, home = choose_host(state, waiter, now)
+    if host != state.host:
+        spare = pick_spare(state, waiter.name)
+        needed = _count_needed(state, waiter)
+        waiter.number = ask_host(state, waiter, host, home, needed, spare, now)
+        waiter.due = now + ASK_TIMEOUT_US
+        return
+    ask = TokenAsk(0, waiter.name, 1, 0, int(waiter.again))
+    decision = decide(state, waiter.name, ask, None, now)
+    if decision.tokens:
+        _grant(state, waiter, now)
     else:
-        wait = bucket.wait_for(event.now)
-        state.emit(RateRefused(event.now, event.req_id, wait))
-
-
-def _find_bucket(state: HostState, name: str, now: int) -> Bucket:
-    account = state.inventory.accounts[name]
-    hosts = sorted(state.members.listed)
-    rate = divide(account.rate, hosts, f"rate:{name}")[state.host]
-    burst = divide(account.burst, hosts, f"burst:{name}")[state.host]
-    bucket = state.limits.buckets.get(name)
-    if bucket is None:
-        bucket = Bucket.full(rate, burst, now)
-        state.limits.buckets[name] = bucket
-    elif (bucket.rate, bucket.burst) != (rate, burst):
-        bucket.refill(now)
-        bucket.rate = rate
-        bucket.burst = burst
-    return bucket
-
-
-EVENT_HANDLERS = {RateAsked: handle_rate_asked}
+        _refuse_or_wait(state, waiter, home, decision, now)
+
+
+def _go_on(state: HostState, waiter: Waiter, now: int) -> None:
+    if now >= waiter.deadline:
+        _refuse(state, waiter, MICROS_PER_SECOND, now)
+        return
+    if take_credit(state, waiter.name, now):
+        _grant(state, waiter, now)
+        return
+    if waiter.number:
+        _note_miss(state, waiter, now)
+    if waiter.again and _find_first(state, waiter.name) is not waiter:
+        waiter.due = now + ASK_TIMEOUT_US
+        return
+    _try(state, waiter, now)
+
+
+def _find_first(state: HostState, name: str) -> Waiter | None:
+    """Return the oldest request that a home told to wait; it asks for all of them."""
+    for waiter in state.limits.asking.waiters.values():
+        if waiter.name == name and waiter.again:
+            return waiter
+    return None
+
+
+def _count_needed(state: HostState, waiter: Waiter) -> int:
+    if not waiter.again:
+        return 1
+    waiters = state.limits.asking.waiters.values()
+    return sum(other.name == waiter.name and other.again for other in waiters)
+
+
+def _note_miss(state: HostState, waiter: Waiter, now: int) -> None:
+    """Count an ask that was not answered in time."""
+    asking = state.limits.asking
+    ask = asking.asks.get(waiter.number)
+    waiter.number = 0
+    waiter.tries += 1
+    if ask is None or not ask.home:
+        return
+    misses = asking.misses.get(ask.host, 0) + 1
+    asking.misses[ask.host] = misses
+    if misses >= MAX_MISSES:
+        del asking.misses[ask.host]
+        suspect(state, ask.host, now)
+
+
+def _accept(
+    state, ask: Ask, message: TokenGrant, waiter: Waiter | None, now: int
+) -> None:
+    until = ask.sent + CREDIT_US
+    if now >= until:
+        settle(state, ask.host, ask.name, message.number, message.tokens)
+        return
+    credit = Credit(message.number, ask.host, message.tokens, until)
+    state.limits.asking.credits.setdefault(ask.name, []).append(credit)
+    if waiter is not None and take_credit(state, ask.name, now):
+        _grant(state, waiter, now)
+    for other in list(state.limits.asking.waiters.values()):
+        if other.name == ask.name and take_credit(state, ask.name, now):
+            _grant(state, other, now)
+
+
+def _refuse_or_wait(
+    state: HostState, waiter: Waiter, home: bool, decision: Decision, now: int
+) -> None:
+    """Wait for a token that is due in time, if the request is inside the rate."""
+    waiter.number = 0
+    waiter.again |= home
+    wait = decision.wait
+    if wait is None:
+        waiter.tries += 1
+        wait = ASK_TIMEOUT_US
+    elif home and not decision.hold:
+        _refuse(state, waiter, wait, now)
+        return
+    waiter.due = now + max(wait, RETRY_US)
+    if waiter.due >= waiter.deadline:
+        _refuse(state, waiter, wait, now)
+        return
+    state.perform(WakeAt(waiter.due))
+
+
+def _grant(state: HostState, waiter: Waiter, now: int) -> None:
+    del state.limits.asking.waiters[waiter.req_id]
+    state.emit(RateGranted(now, waiter.req_id))
+    _wake_next(state, waiter, now)
+
+
+def _refuse(state: HostState, waiter: Waiter, wait: int, now: int) -> None:
+    del state.limits.asking.waiters[waiter.req_id]
+    state.emit(RateRefused(now, waiter.req_id, max(wait, 1)))
+    _wake_next(state, waiter, now)
+
+
+def _wake_next(state: HostState, waiter: Waiter, now: int) -> None:
+    """Let the next request that waits ask in place of one that is done."""
+    following = _find_first(state, waiter.name) if waiter.again else None
+    if following is not None and not following.number:
+        following.due = min(following.due, max(now, waiter.due))
+        state.perform(WakeAt(following.due))
+
+
+EVENT_HANDLERS = {
+    RateAsked: handle_rate_asked,
+    Tick: handle_tick,
+    CallerGone: handle_caller_gone,
+}
+MESSAGE_HANDLERS = {TokenGrant: handle_token_grant}
--- /dev/null
+++ b/packages/almondgap-core/almondgap_core/limits/asking.py
@@ -0,0 +1,108 @@
+"""Asking: whom a host asks for tokens, and what it does with spare ones."""
+
+from __future__ import annotations
+
+from almondgap_core.effects import SendMessage
+from almondgap_core.limits.homes import find_home
+from almondgap_core.limits.leases import find_holder
+from almondgap_core.limits.messages import TokenAsk, TokenUsed
+from almondgap_core.limits.partitions import find_partition
+from almondgap_core.limits.state import Ask, Waiter
+from almondgap_core.state import HostState
+from almondgap_core.units import millis
+
+#: Time after which the count of demand is halved.
+DECAY_US = millis(200)
+
+#: Counted demand from which a host asks for spare tokens, and part that it asks for.
+SPARE_FROM = 8
+SPARE_PART = 4
+
+
+def choose_host(state: HostState, waiter: Waiter, now: int) -> tuple[str, bool]:
+    """Return the host to ask and whether it is asked as the home.
+
+    The home comes first. After a try in vain the owner in this failure domain and the
+    home take turns.
+    """
+    home = find_home(state, waiter.name, now)
+    if waiter.tries % 2 == 0:
+        return home, True
+    name = waiter.name
+    partition = find_partition(state.inventory, state.failure_domain, name)
+    owner = find_holder(state, partition)
+    return (home, True) if owner is None else (owner, False)
+
+
+def ask_host(
+    state: HostState,
+    waiter: Waiter,
+    host: str,
+    home: bool,
+    needed: int,
+    spare: int,
+    now: int,
+) -> int:
+    """Send an ask for requests that wait and return its number."""
+    asking = state.limits.asking
+    asking.number += 1
+    number = asking.number
+    asking.asks[number] = Ask(waiter.name, host, now, waiter.req_id, home)
+    message = TokenAsk(number, waiter.name, needed, spare, int(waiter.again))
+    state.perform(SendMessage(host, message))
+    return number
+
+
+def note_demand(state: HostState, name: str, now: int) -> None:
+    """Count a request; counts are halved as time passes."""
+    asking = state.limits.asking
+    if now >= asking.next_decay:
+        asking.next_decay = now + DECAY_US
+        asking.demand = {n: c // 2 for n, c in asking.demand.items() if c > 1}
+    asking.demand[name] = asking.demand.get(name, 0) + 1
+
+
+def pick_spare(state: HostState, name: str) -> int:
+    """Return how many tokens to ask for beyond the one that is needed."""
+    demand = state.limits.asking.demand.get(name, 0)
+    return demand // SPARE_PART if demand >= SPARE_FROM else 0
+
+
+def take_credit(state: HostState, name: str, now: int) -> bool:
+    """Spend one token that another host granted, if there is one."""
+    credits = state.limits.asking.credits.get(name, [])
+    while credits:
+        credit = credits[0]
+        if now >= credit.until:
+            _drop(state, name)
+            continue
+        credit.tokens -= 1
+        if not credit.tokens:
+            _drop(state, name)
+        return True
+    return False
+
+
+def settle(state: HostState, host: str, name: str, number: int, returned: int) -> None:
+    """Note for the next report that an ask's tokens are spent or given back."""
+    used = state.limits.asking.used.setdefault(host, [])
+    used.append((name, number, returned))
+
+
+def send_used(state: HostState, now: int) -> None:
+    """Drop credits that ran out and report what is settled."""
+    asking = state.limits.asking
+    for name, credits in list(asking.credits.items()):
+        while credits and now >= credits[0].until:
+            _drop(state, name)
+        if not credits:
+            del asking.credits[name]
+    for host, entries in asking.used.items():
+        names, numbers, returned = zip(*entries, strict=True)
+        state.perform(SendMessage(host, TokenUsed(names, numbers, returned)))
+    asking.used = {}
+
+
+def _drop(state: HostState, name: str) -> None:
+    credit = state.limits.asking.credits[name].pop(0)
+    settle(state, credit.host, name, credit.number, credit.tokens)
--- /dev/null
+++ b/packages/almondgap-core/almondgap_core/limits/borrowing.py
@@ -0,0 +1,152 @@
+"""Borrowing: a home keeps the shares of others in use."""
+
+from __future__ import annotations
+
+from almondgap_core.effects import SendMessage
+from almondgap_core.events import Tick
+from almondgap_core.limits.catalogue import Limit
+from almondgap_core.limits.granting import open_pool
+from almondgap_core.limits.leases import CREDIT_HELD_US
+from almondgap_core.limits.messages import (
+    LoanAsk,
+    LoanGrant,
+    LoanOffer,
+    LoanRecall,
+    LoanReturn,
+)
+from almondgap_core.limits.pool import Source
+from almondgap_core.limits.state import Lender
+from almondgap_core.state import HostState
+from almondgap_core.units import millis, seconds
+
+#: Validity of a loan, from when it was asked for: with few lenders, and with many.
+LOAN_US = seconds(2)
+LONG_LOAN_US = seconds(6)
+
+#: Lenders from which loans are long, so that their messages stay few.
+MANY_LENDERS = 40
+
+#: Least time between two asks to one lender.
+ASK_GAP_US = millis(100)
+
+
+def handle_tick(state: HostState, event: Tick) -> None:
+    """Renew loans half-way, and give back what a stop or an owner asks for."""
+    lenders = state.limits.lenders
+    for host, lender in list(lenders.items()):
+        if state.stopping and lender.closing is None:
+            _close(state, host, lender, event.now)
+        if lender.closing is not None:
+            if event.now >= lender.closing:
+                _give_back(state, host, lender)
+                del lenders[host]
+        elif event.now >= lender.until + LOAN_US:
+            del lenders[host]
+        elif event.now >= lender.next_ask:
+            _ask(state, host, lender, event.now)
+
+
+def handle_loan_offer(
+    state: HostState, host: str, message: LoanOffer, now: int
+) -> None:
+    """Ask for the loan."""
+    if state.stopping or state.inventory is None:
+        return
+    lender = state.limits.lenders.get(host)
+    if lender is None:
+        lender = Lender(until=now)
+        state.limits.lenders[host] = lender
+    if lender.closing is None and now >= lender.next_ask - _choose_loan(state) // 2:
+        _ask(state, host, lender, now)
+
+
+def handle_loan_grant(
+    state: HostState, host: str, message: LoanGrant, now: int
+) -> None:
+    """Use what an owner lent; a repeated or overtaken grant has no effect."""
+    lender = state.limits.lenders.get(host)
+    if lender is None or lender.closing is not None or message.number <= lender.got:
+        return
+    sent = lender.asked.pop(message.number, None)
+    if sent is None:
+        return
+    lender.got = message.number
+    lender.asked = {n: at for n, at in lender.asked.items() if n > message.number}
+    until = sent + message.duration - CREDIT_HELD_US
+    if message.base:
+        if message.base == lender.listed:
+            _extend(state, host, lender, until, now)
+        return
+    lender.listed = message.number
+    lender.until = until
+    _replace(state, host, lender, message, now)
+
+
+def handle_loan_recall(
+    state: HostState, host: str, message: LoanRecall, now: int
+) -> None:
+    """Stop using an owner's shares and give them back."""
+    lender = state.limits.lenders.get(host)
+    if lender is not None and lender.closing is None:
+        _close(state, host, lender, now)
+
+
+def _choose_loan(state: HostState) -> int:
+    return LONG_LOAN_US if len(state.limits.lenders) > MANY_LENDERS else LOAN_US
+
+
+def _ask(state: HostState, host: str, lender: Lender, now: int) -> None:
+    duration = _choose_loan(state)
+    number = max(lender.number, state.limits.last_ask) + 1
+    state.limits.last_ask = number
+    lender.number = number
+    lender.asked[number] = now
+    lender.next_ask = now + duration // 2
+    message = LoanAsk(state.incarnation, number, duration, lender.listed)
+    state.perform(SendMessage(host, message))
+
+
+def _extend(state: HostState, host: str, lender: Lender, until: int, now: int) -> None:
+    lender.until = until
+    for name in lender.names:
+        pool = open_pool(state, name, now)
+        source = pool.sources.get(host)
+        if source is None:
+            lender.listed = 0
+        elif now < until:
+            pool.put(host, Source(source.share, until))
+
+
+def _replace(state, host: str, lender: Lender, message: LoanGrant, now: int) -> None:
+    entries = zip(
+        message.names, message.rates, message.bursts, message.tokens, strict=True
+    )
+    for name in set(lender.names) - set(message.names):
+        open_pool(state, name, now).remove(host)
+    lender.names = message.names
+    for name, rate, burst, tokens in entries:
+        pool = open_pool(state, name, now)
+        if now < lender.until:
+            pool.put(host, Source(Limit(rate, burst), lender.until), tokens)
+
+
+def _close(state: HostState, host: str, lender: Lender, now: int) -> None:
+    """Stop using the shares; what was granted of them can be spent a little longer."""
+    lender.closing = now + CREDIT_HELD_US
+    for name in lender.names:
+        lender.tokens[name] = open_pool(state, name, now).remove(host)
+
+
+def _give_back(state: HostState, host: str, lender: Lender) -> None:
+    names = tuple(lender.tokens)
+    tokens = tuple(lender.tokens.values())
+    message = LoanReturn(state.incarnation, lender.number, names, tokens)
+    state.perform(SendMessage(host, message))
+
+
+EVENT_HANDLERS = {Tick: handle_tick}
+MESSAGE_HANDLERS = {
+    LoanOffer: handle_loan_offer,
+    LoanGrant: handle_loan_grant,
+    LoanRecall: handle_loan_recall,
+}
--- /dev/null
+++ b/packages/almondgap-core/almondgap_core/limits/granting.py
@@ -0,0 +1,170 @@
+"""Granting: hand out tokens of what this host owns and borrowed."""
+
+from __future__ import annotations
+
+from attrs import evolve, frozen
+
+from almondgap_core.effects import SendMessage
+from almondgap_core.limits.bucket import Bucket
+from almondgap_core.limits.catalogue import (
+    Limit,
+    compute_share,
+    find_limit,
+    list_limits,
+)
+from almondgap_core.limits.leases import CREDIT_HELD_US, find_held
+from almondgap_core.limits.messages import TokenAsk, TokenGrant, TokenUsed
+from almondgap_core.limits.partitions import find_partition
+from almondgap_core.limits.pool import OWN, Pool, Source
+from almondgap_core.state import HostState
+from almondgap_core.units import TOKEN
+
+#: Spare tokens leave at least this part of the burst, as a divisor.
+SPARE_FLOOR = 2
+
+#: Spare tokens at other hosts are at most this part of the burst, as a divisor.
+SPARE_PART = 8
+
+
+@frozen
+class Decision:
+    """What a host decides on an ask.
+
+    :ivar tokens: tokens granted.
+    :ivar wait: microseconds until a token is expected, None if none is.
+    :ivar hold: whether one central bucket would have admitted the request.
+    """
+
+    tokens: int
+    wait: int | None
+    hold: bool
+
+
+def open_pool(state: HostState, name: str, now: int) -> Pool:
+    """Return the pool of a limit, refilled, with what this host may use now."""
+    pool = state.limits.pools.get(name)
+    if pool is None:
+        pool = Pool(now)
+        state.limits.pools[name] = pool
+    until = _find_own_end(state, name, now)
+    known = pool.sources.get(OWN)
+    if known is not None and until is not None:
+        pool.sources[OWN] = evolve(known, until=until)
+    pool.advance(now)
+    if until is None or until <= now:
+        pool.remove(OWN)
+        return pool
+    share = find_own_share(state, name, now)
+    known = pool.sources.get(OWN)
+    if known is None or known.share != share:
+        pool.put(OWN, Source(share, until))
+    return pool
+
+
+def list_held_names(state: HostState, now: int) -> list[str]:
+    """Return the limits of which this host holds a share now, lent or not."""
+    limits = state.limits
+    if limits.indexed is not state.inventory:
+        limits.indexed = state.inventory
+        limits.names = {}
+        limits.shares = {}
+        for name in list_limits(state.inventory):
+            partition = find_partition(state.inventory, state.failure_domain, name)
+            limits.names.setdefault(partition, []).append(name)
+    held = [p for p in limits.names if find_held(state, p, now) is not None]
+    return [name for partition in held for name in limits.names[partition]]
+
+
+def find_own_share(state: HostState, name: str, now: int) -> Limit:
+    """Return the part of a limit that this host may use while it holds it."""
+    shares = state.limits.shares
+    if state.limits.indexed is not state.inventory:
+        list_held_names(state, now)
+        shares = state.limits.shares
+    if name not in shares:
+        shares[name] = compute_share(state.inventory, state.failure_domain, name)
+    return shares[name]
+
+
+def decide(
+    state: HostState, name: str, ask: TokenAsk, key: tuple[str, int] | None, now: int
+) -> Decision:
+    """Grant tokens or say how long to wait.
+
+    :param key: asking host and number of the ask, None for a request of this host.
+    """
+    pool = open_pool(state, name, now)
+    inside = _count_ideal(state, name, ask, now)
+    tokens = min(max(ask.needed, 0), pool.level // TOKEN)
+    if not tokens:
+        return Decision(0, pool.compute_wait(), inside)
+    pool.take(tokens)
+    spare = _pick_spare(pool, ask.spare)
+    pool.take(spare)
+    state.limits.ideals[name].take(now, spare)
+    if key is not None:
+        pool.reserve(key, tokens + spare, now + CREDIT_HELD_US)
+    return Decision(tokens + spare, 0, inside)
+
+
+def handle_token_ask(state: HostState, host: str, message: TokenAsk, now: int) -> None:
+    """Answer another host's ask; a repeat of the message has no effect."""
+    if state.inventory is None or find_limit(state.inventory, message.name) is None:
+        return
+    key = (host, message.number)
+    pool = state.limits.pools.get(message.name)
+    if pool is not None and key in pool.reservations:
+        return
+    decision = decide(state, message.name, message, key, now)
+    wait = -1 if decision.wait is None else decision.wait
+    grant = TokenGrant(message.number, decision.tokens, wait, int(decision.hold))
+    state.perform(SendMessage(host, grant))
+
+
+def handle_token_used(
+    state: HostState, host: str, message: TokenUsed, now: int
+) -> None:
+    """Free what the reported tokens held back."""
+    entries = zip(message.names, message.numbers, message.returned, strict=False)
+    for name, number, returned in entries:
+        pool = state.limits.pools.get(name)
+        if pool is not None:
+            pool.advance(now)
+            pool.settle((host, number), returned)
+
+
+def _find_own_end(state: HostState, name: str, now: int) -> int | None:
+    if state.inventory is None:
+        return None
+    partition = find_partition(state.inventory, state.failure_domain, name)
+    if find_held(state, partition, now) is None:
+        return None
+    lent = state.limits.lent.get(name)
+    if lent is not None:
+        if now < lent.ends:
+            return None
+        del state.limits.lent[name]
+    return state.limits.leases.own[partition].valid_until - CREDIT_HELD_US
+
+
+def _count_ideal(state: HostState, name: str, ask: TokenAsk, now: int) -> bool:
+    limit = find_limit(state.inventory, name)
+    ideal = state.limits.ideals.get(name)
+    if ideal is None or (ideal.rate, ideal.burst) != (limit.rate, limit.burst):
+        ideal = Bucket.full(limit.rate, limit.burst, now)
+        state.limits.ideals[name] = ideal
+    return bool(ask.again) or ideal.take(now, ask.needed)
+
+
+def _pick_spare(pool: Pool, wanted: int) -> int:
+    room = pool.burst // SPARE_PART - pool.reserved
+    return (
+        max(0, min(wanted, room, pool.level // TOKEN)) if _is_comfortable(pool) else 0
+    )
+
+
+def _is_comfortable(pool: Pool) -> bool:
+    return pool.compute_wait(1 + pool.burst // SPARE_FLOOR) == 0
+
+
+MESSAGE_HANDLERS = {TokenAsk: handle_token_ask, TokenUsed: handle_token_used}
--- /dev/null
+++ b/packages/almondgap-core/almondgap_core/limits/homes.py
@@ -0,0 +1,79 @@
+"""Homes: the host at which the shares of a limit are pooled."""
+
+from __future__ import annotations
+
+import hashlib
+from functools import lru_cache
+
+from almondgap_core.limits.alive import SILENCE_US
+from almondgap_core.limits.division import rank
+from almondgap_core.state import HostState
+from almondgap_core.units import millis, seconds
+
+GROUPS = 64
+
+#: Time for which a host that did not answer is not chosen again: while it is heard,
+#: and while it is not.
+SUSPECT_US = seconds(2)
+SILENT_SUSPECT_US = seconds(30)
+
+#: Time between two looks at which hosts are candidates.
+REFRESH_US = millis(250)
+
+
+def find_home(state: HostState, name: str, now: int) -> str:
+    """Return the host at which this host believes a limit is pooled.
+
+    Two hosts that believe differently lend to different homes: each pools less, and
+    no share is used twice.
+    """
+    homes = state.limits.homes
+    if now >= homes.next_look:
+        homes.next_look = now + REFRESH_US
+        homes.candidates = _list_candidates(state, now)
+    if not homes.candidates:
+        return state.host
+    return _choose(homes.candidates, find_group(name))
+
+
+def suspect(state: HostState, host: str, now: int) -> None:
+    """Choose another home than a host that does not answer, for a while."""
+    if host != state.host:
+        state.limits.homes.suspects[host] = now
+        state.limits.homes.next_look = now
+
+
+@lru_cache(maxsize=65_536)
+def find_group(name: str) -> int:
+    """Return the group of limits that share a home."""
+    digest = hashlib.blake2b(name.encode(), digest_size=2).digest()
+    return int.from_bytes(digest, "big") % GROUPS
+
+
+@lru_cache(maxsize=1024)
+def _choose(candidates: tuple[str, ...], group: int) -> str:
+    return rank(candidates, f"home:{group}")[0]
+
+
+def _list_candidates(state: HostState, now: int) -> tuple[str, ...]:
+    found = []
+    for name, entry in state.members.listed.items():
+        if name == state.host:
+            usable = not state.stopping
+        else:
+            usable = not entry.leaving and _may_live(state, name, now)
+        if usable:
+            found.append(name)
+    return tuple(sorted(found))
+
+
+def _may_live(state: HostState, name: str, now: int) -> bool:
+    since = state.limits.homes.suspects.get(name)
+    peer = state.members.peers.get(name)
+    if since is not None:
+        heard = peer is not None and peer.heard > since
+        if now < since + (SUSPECT_US if heard else SILENT_SUSPECT_US):
+            return False
+    if peer is None:
+        return True
+    return now - peer.heard <= SILENCE_US and not peer.stopping
--- a/packages/almondgap-core/almondgap_core/limits/leases.py
+++ b/packages/almondgap-core/almondgap_core/limits/leases.py
@@ -6,7 +6,7 @@
 
 from almondgap_core.limits.partitions import Partition
 from almondgap_core.state import HostState
-from almondgap_core.units import seconds
+from almondgap_core.units import millis, seconds
 
 #: Validity of a lease, from when its renewal was sent.
 LEASE_US = seconds(9)
@@ -18,6 +18,13 @@
 LOOP_GAP_US = seconds(2)
 
 
+#: Time for which tokens from another host can be spent, from the asking.
+CREDIT_US = millis(400)
+
+#: Time for which the granting host counts them as unspent, from the granting.
+CREDIT_HELD_US = millis(420)
+
+
 @frozen
 class HeldLease:
     """A partition that this host holds now.
@@ -33,7 +40,7 @@
     """Return this host's lease on a partition, or None if it holds none at ``now``."""
     leases = state.limits.leases
     lease = leases.own.get(partition)
-    if lease is None or now >= lease.valid_until:
+    if lease is None or now >= lease.valid_until or lease.leaving is not None:
         return None
     if leases.last_tick is not None and now - leases.last_tick > LOOP_GAP_US:
         return None
--- /dev/null
+++ b/packages/almondgap-core/almondgap_core/limits/lending.py
@@ -0,0 +1,204 @@
+"""Lending: an owner gives its shares to their home for a while."""
+
+from __future__ import annotations
+
+from almondgap_core.effects import SendMessage
+from almondgap_core.events import Tick
+from almondgap_core.limits.catalogue import Limit
+from almondgap_core.limits.events import LeaseTaken
+from almondgap_core.limits.granting import find_own_share, list_held_names, open_pool
+from almondgap_core.limits.homes import find_home, suspect
+from almondgap_core.limits.messages import (
+    LoanAsk,
+    LoanGrant,
+    LoanOffer,
+    LoanRecall,
+    LoanReturn,
+)
+from almondgap_core.limits.partitions import find_partition
+from almondgap_core.limits.pool import OWN
+from almondgap_core.limits.state import Borrower, LentShare
+from almondgap_core.state import HostState
+from almondgap_core.units import TOKEN, millis
+
+OFFER_INTERVAL_US = millis(200)
+
+#: Offers without an ask after which the home is suspected not to answer.
+MAX_OFFERS = 4
+
+#: Loans shorter than this are not worth their messages.
+SHORTEST_LOAN_US = millis(600)
+
+#: What an owner waits beyond a loan's duration, and per part of it.
+LOAN_DRIFT_US = millis(20)
+LOAN_DRIFT_PART = 50
+
+
+def handle_tick(state: HostState, event: Tick) -> None:
+    """Offer shares to their homes and call back those that lie elsewhere."""
+    limits = state.limits
+    if state.inventory is None or event.now < limits.next_offers:
+        return
+    limits.next_offers = event.now + OFFER_INTERVAL_US
+    wanting = set()
+    misplaced = set()
+    for name in list_held_names(state, event.now):
+        _sort_share(state, name, event.now, wanting, misplaced)
+    for host in sorted(misplaced):
+        state.perform(SendMessage(host, LoanRecall(0)))
+    for host in sorted(wanting):
+        _offer(state, host, event.now)
+
+
+def handle_lease_taken(state: HostState, event: LeaseTaken) -> None:
+    """Let what the partition holds begin to accrue."""
+    state.limits.next_offers = event.now
+    for name in list_held_names(state, event.now):
+        open_pool(state, name, event.now)
+
+
+def handle_loan_ask(state: HostState, host: str, message: LoanAsk, now: int) -> None:
+    """Stop using the shares, then lend them; an old ask has no effect."""
+    if state.inventory is None:
+        return
+    borrower = state.limits.borrowers.setdefault(host, Borrower())
+    place = (message.incarnation, message.number)
+    if place <= (borrower.incarnation, borrower.number):
+        return
+    if message.incarnation > borrower.incarnation:
+        borrower.grant = 0
+    borrower.incarnation, borrower.number = place
+    borrower.unanswered = 0
+    names = _list_lendable(state, host, now)
+    duration = _limit_duration(state, names, message.duration, now)
+    if duration < SHORTEST_LOAN_US:
+        names = []
+    tokens = {}
+    for name in names:
+        moved = _lend(state, host, name, duration, now)
+        if moved is not None:
+            tokens[name] = moved
+    grant = _make_grant(state, borrower, message, tokens, duration)
+    state.perform(SendMessage(host, grant))
+
+
+def handle_loan_return(
+    state: HostState, host: str, message: LoanReturn, now: int
+) -> None:
+    """Use the shares again; asks that the home sent before are void."""
+    borrower = state.limits.borrowers.get(host)
+    place = (message.incarnation, message.number)
+    if borrower is None or place < (borrower.incarnation, borrower.number):
+        return
+    borrower.incarnation, borrower.number = place
+    borrower.grant = 0
+    tokens = dict(zip(message.names, message.tokens, strict=False))
+    for name, lent in list(state.limits.lent.items()):
+        if lent.home == host and now < lent.ends:
+            del state.limits.lent[name]
+            _take_back(state, name, tokens.get(name, 0), now)
+
+
+def _sort_share(state: HostState, name: str, now: int, wanting, misplaced) -> None:
+    lent = state.limits.lent.get(name)
+    home = find_home(state, name, now)
+    if lent is not None and now < lent.ends:
+        if lent.home != home or state.stopping:
+            misplaced.add(lent.home)
+        return
+    open_pool(state, name, now)
+    if home != state.host and not state.stopping:
+        wanting.add(home)
+
+
+def _offer(state: HostState, host: str, now: int) -> None:
+    borrower = state.limits.borrowers.setdefault(host, Borrower())
+    if borrower.unanswered >= MAX_OFFERS:
+        borrower.unanswered = 0
+        suspect(state, host, now)
+        return
+    borrower.unanswered += 1
+    state.perform(SendMessage(host, LoanOffer(borrower.unanswered)))
+
+
+def _find_own_partition(state: HostState, name: str):
+    return find_partition(state.inventory, state.failure_domain, name)
+
+
+def _list_lendable(state: HostState, host: str, now: int) -> list[str]:
+    if state.stopping:
+        return []
+    names = []
+    for name in list_held_names(state, now):
+        lent = state.limits.lent.get(name)
+        elsewhere = lent is not None and lent.home != host and now < lent.ends
+        if not elsewhere and find_home(state, name, now) == host:
+            names.append(name)
+    return names
+
+
+def _limit_duration(state: HostState, names, duration: int, now: int) -> int:
+    """Return the longest loan whose end, as counted here, every lease covers."""
+    for name in names:
+        lease = state.limits.leases.own[_find_own_partition(state, name)]
+        left = lease.valid_until - now - LOAN_DRIFT_US
+        duration = min(duration, left * LOAN_DRIFT_PART // (LOAN_DRIFT_PART + 1))
+    return duration
+
+
+def _lend(
+    state: HostState, host: str, name: str, duration: int, now: int
+) -> int | None:
+    """Stop using a share and return the nano-tokens that go with it.
+
+    What other hosts may still spend of it is held back from the burst.
+    """
+    ends = now + duration + duration // LOAN_DRIFT_PART + LOAN_DRIFT_US
+    lent = state.limits.lent.get(name)
+    pool = open_pool(state, name, now)
+    if lent is not None and now < lent.ends:
+        lent.ends = max(lent.ends, ends)
+        lent.share = _hold_back(find_own_share(state, name, now), pool.reserved)
+        return 0
+    source = pool.sources.get(OWN)
+    if source is None:
+        return None
+    share = _hold_back(source.share, pool.reserved)
+    tokens = pool.remove(OWN)
+    state.limits.lent[name] = LentShare(host, share, ends)
+    return min(tokens, share.burst * TOKEN)
+
+
+def _hold_back(share: Limit, reserved: int) -> Limit:
+    return Limit(share.rate, max(0, share.burst - reserved))
+
+
+def _make_grant(
+    state: HostState, borrower: Borrower, message: LoanAsk, tokens, duration: int
+) -> LoanGrant:
+    listed = {name: state.limits.lent[name].share for name in tokens}
+    same = borrower.listed == listed and not any(tokens.values())
+    if same and borrower.grant and message.have == borrower.grant:
+        return LoanGrant(message.number, duration, borrower.grant, (), (), (), ())
+    borrower.grant = message.number
+    borrower.listed = listed
+    return LoanGrant(
+        message.number,
+        duration,
+        0,
+        tuple(listed),
+        tuple(share.rate for share in listed.values()),
+        tuple(share.burst for share in listed.values()),
+        tuple(tokens.values()),
+    )
+
+
+def _take_back(state: HostState, name: str, tokens: int, now: int) -> None:
+    pool = open_pool(state, name, now)
+    source = pool.sources.get(OWN)
+    if source is not None:
+        pool.put(OWN, source, tokens)
+
+
+EVENT_HANDLERS = {Tick: handle_tick, LeaseTaken: handle_lease_taken}
+MESSAGE_HANDLERS = {LoanAsk: handle_loan_ask, LoanReturn: handle_loan_return}
--- a/packages/almondgap-core/almondgap_core/limits/renewal.py
+++ b/packages/almondgap-core/almondgap_core/limits/renewal.py
@@ -8,8 +8,17 @@
 from almondgap_core.events import Tick, TransactionEnded
 from almondgap_core.limits.alive import list_alive, list_heard
 from almondgap_core.limits.events import LeaseLost, LeaseTaken
-from almondgap_core.limits.leases import DRIFT_US, LEASE_US, LOOP_GAP_US
-from almondgap_core.limits.partitions import Partition, list_partitions
+from almondgap_core.limits.leases import (
+    CREDIT_HELD_US,
+    DRIFT_US,
+    LEASE_US,
+    LOOP_GAP_US,
+)
+from almondgap_core.limits.partitions import (
+    Partition,
+    find_partition,
+    list_partitions,
+)
 from almondgap_core.limits.placing import place
 from almondgap_core.limits.rows import LeaseRow, Witness, make_row_key
 from almondgap_core.limits.state import OwnLease, PendingRenewal, WatchedRow
@@ -73,10 +82,14 @@
     leases.pending = None
     outcome = event.result.outcome
     if outcome in (TransactionOutcome.UNKNOWN, TransactionOutcome.UNAVAILABLE):
-        leases.must_read |= outcome is TransactionOutcome.UNKNOWN
+        if outcome is TransactionOutcome.UNKNOWN:
+            leases.must_read = True
+        elif not leases.must_read:
+            leases.doubtful.clear()
         _plan_retry(state, event.now)
         return
     was_read, leases.must_read = leases.must_read, False
+    leases.doubtful.clear()
     _watch(state, pending, event.result, event.now)
     _adopt(state, event.now)
     if outcome is TransactionOutcome.CONFLICT or was_read:
@@ -121,6 +134,7 @@
     if last is not None and now - last > LOOP_GAP_US:
         for lease in leases.own.values():
             lease.valid_until = 0
+            lease.table_until = 0
         leases.must_read |= leases.pending is not None
         leases.pending = None
         leases.next_renewal = now
@@ -136,6 +150,7 @@
     partitions = tuple(list_partitions(state.inventory, state.failure_domain))
     reads = tuple(sorted({*partitions, *leases.own}))
     rows = {} if leases.must_read else _plan_rows(state, partitions, now)
+    leases.doubtful |= set(rows) - set(leases.own)
     checks = []
     writes = []
     for partition, row in rows.items():
@@ -156,18 +171,24 @@
     witnesses = tuple(list_heard(state, state.failure_domain, now))
     rows = {}
     for partition, lease in leases.own.items():
+        if now < leases.promised.get(partition, 0):
+            continue
         lease.witnesses |= frozenset(witnesses)
+        lease.hold = min(lease.hold or HOLD_MAX_US, _choose_hold(witnesses))
         rows[partition] = _make_row(state, lease.epoch, lease.clean, witnesses)
-    for partition in _pick_leaving(state, placed, now):
-        lease = leases.own[partition]
-        lease.valid_until = 0
+    for partition, lease in _list_releasable(state, rows, placed, now):
         clean = not state.requests.open and _is_clean(lease, now)
         rows[partition] = evolve(rows[partition], released=True, clean=clean)
     for partition in _plan_takes(state, now):
         past = leases.watched[partition].row
         epoch = 1 if past is None else past.epoch + 1
         clean = past is None or (past.released and past.clean)
-        rows[partition] = _make_row(state, epoch, clean, witnesses)
+        row = _make_row(state, epoch, clean, witnesses)
+        if past is not None and not past.released:
+            # The past holder may go on by promises of hosts that are no witnesses of
+            # this row; until it is renewed nobody may take it over early.
+            row = evolve(row, witnesses=(), hold=max(row.hold, past.hold))
+        rows[partition] = row
     return rows
 
 
@@ -183,7 +204,8 @@
         watched = leases.watched.get(partition)
         if watched is None or partition in leases.own:
             continue
-        if _may_take(state, watched, placed.get(partition), now):
+        promised = leases.promised.get(partition, 0)
+        if _may_take(state, watched, promised, placed.get(partition), now):
             takes.append(partition)
     return takes
 
@@ -191,30 +213,60 @@
 def _make_row(
     state: HostState, epoch: int, clean: bool, witnesses: tuple[Witness, ...]
 ) -> LeaseRow:
-    hold = HOLD_MAX_US if witnesses else HOLD_ALONE_US
     return LeaseRow(
         holder=state.host,
         incarnation=state.incarnation,
         epoch=epoch,
         duration=LEASE_US,
-        hold=hold,
+        hold=_choose_hold(witnesses),
         witnesses=witnesses,
         clean=clean,
     )
 
 
+def _choose_hold(witnesses: tuple[Witness, ...]) -> int:
+    return HOLD_MAX_US if witnesses else HOLD_ALONE_US
+
+
 def _is_clean(lease: OwnLease, now: int) -> bool:
     return lease.clean or now - lease.taken > LONGEST_DEADLINE_US
 
 
+def _list_releasable(state: HostState, rows, placed, now: int):
+    """Return the held partitions whose rows can be released now."""
+    leases = state.limits.leases
+    for partition in _pick_leaving(state, placed, now):
+        leases.own[partition].leaving = now
+    return [
+        (partition, lease)
+        for partition, lease in leases.own.items()
+        if lease.leaving is not None
+        and partition in rows
+        and not _is_in_use(state, partition, lease, now)
+    ]
+
+
+def _is_in_use(state: HostState, partition, lease: OwnLease, now: int) -> bool:
+    """Return whether others may still use what this host lent or granted."""
+    if now < lease.leaving + CREDIT_HELD_US:
+        return True
+    for name, lent in state.limits.lent.items():
+        if now < lent.ends and partition == find_partition(
+            state.inventory, state.failure_domain, name
+        ):
+            return True
+    return False
+
+
 def _pick_leaving(state: HostState, placed, now: int) -> list[Partition]:
-    """Return the held partitions to give up: all on a stop, else one at a time."""
+    """Return the partitions to stop using: all on a stop, else one at a time."""
     leases = state.limits.leases
+    staying = [p for p, lease in leases.own.items() if lease.leaving is None]
     if state.stopping:
-        return [] if state.requests.open else list(leases.own)
+        return [] if state.requests.open else staying
     if now - leases.moved < MOVE_INTERVAL_US:
         return []
-    for partition in leases.own:
+    for partition in staying:
         if placed.get(partition, state.host) != state.host:
             leases.moved = now
             return [partition]
@@ -222,9 +274,13 @@
 
 
 def _may_take(
-    state: HostState, watched: WatchedRow, placed: str | None, now: int
+    state: HostState,
+    watched: WatchedRow,
+    promised: int,
+    placed: str | None,
+    now: int,
 ) -> bool:
-    free = compute_free_from(state, watched)
+    free = max(compute_free_from(state, watched), promised)
     if placed != state.host:
         free += COURTESY_US
     return now >= free
@@ -274,6 +330,7 @@
         if partition not in leases.own and _is_own(state, watched.row):
             row = watched.row
             lease = OwnLease(row.epoch, row.clean, now, frozenset(row.witnesses))
+            lease.hold = row.hold
             leases.own[partition] = lease
 
 
@@ -281,17 +338,23 @@
     leases = state.limits.leases
     jitter = state.draw(RENEW_JITTER_US)
     leases.next_renewal = pending.sent + RENEW_INTERVAL_US + jitter
+    written = pending.rows.values()
     settled_at = leases.started + SETTLE_US
     if pending.sent < settled_at:
         leases.next_renewal = settled_at
     leases.settled = pending.sent >= settled_at
-    if _plan_takes(state, now):
+    fresh = any(not row.witnesses and row.hold > HOLD_ALONE_US for row in written)
+    if fresh or _plan_takes(state, now):
         _plan_retry(state, now)
     for partition, row in pending.rows.items():
         if row.released:
             continue
         lease = leases.own[partition]
         lease.witnesses = frozenset(row.witnesses)
+        lease.hold = row.hold
+        if pending.sent < leases.promised.get(partition, 0):
+            continue
+        lease.table_until = max(lease.table_until, pending.sent + row.duration)
         lease.valid_until = max(lease.valid_until, pending.sent + row.duration)
         if not lease.announced:
             lease.announced = True
--- a/packages/almondgap-core/almondgap_core/reducer.py
+++ b/packages/almondgap-core/almondgap_core/reducer.py
@@ -7,7 +7,15 @@
 from almondgap_core import lifecycle
 from almondgap_core.effects import Effect
 from almondgap_core.events import Event, PeerMessage
-from almondgap_core.limits import admission, notices, renewal
+from almondgap_core.limits import (
+    admission,
+    borrowing,
+    granting,
+    lending,
+    notices,
+    outage,
+    renewal,
+)
 from almondgap_core.membership import heartbeats
 from almondgap_core.messages import Message
 from almondgap_core.requests import flow
@@ -23,7 +31,10 @@
     heartbeats,
     rollout,
     renewal,
+    outage,
     notices,
+    lending,
+    borrowing,
     admission,
     targets,
     flow,
@@ -31,7 +42,7 @@
 )
 
 #: Modules that handle messages from other hosts.
-MESSAGE_MODULES = (heartbeats, notices)
+MESSAGE_MODULES = (heartbeats, notices, outage, lending, borrowing, granting, admission)
 
 
 def _collect_event_handlers() -> dict[type[Event], tuple[EventHandler, ...]]:
--- a/packages/almondgap-testkit/almondgap_testkit/builders.py
+++ b/packages/almondgap-testkit/almondgap_testkit/builders.py
@@ -9,12 +9,14 @@
 
 from almondgap_core.events import HostEntry, RequestArrived
 from almondgap_core.keys.credential import Credential, compute_digest
+from almondgap_core.limits.catalogue import compute_share, list_limits
 from almondgap_core.limits.partitions import list_partitions
+from almondgap_core.limits.pool import OWN, Pool, Source
 from almondgap_core.limits.state import OwnLease
 from almondgap_core.settings.inventory import Inventory
 from almondgap_core.settings.reader import Report
 from almondgap_core.state import HostState
-from almondgap_core.units import seconds
+from almondgap_core.units import TOKEN, seconds
 
 PEPPER = b"pepper"
 KEY = "agk_one_secret"
@@ -95,6 +97,19 @@
     for partition in list_partitions(state.inventory, state.failure_domain):
         lease = OwnLease(1, True, 0, valid_until=sys.maxsize, announced=True)
         leases.own[partition] = lease
+    for name in list_limits(state.inventory):
+        state.limits.pools[name] = _build_full_pool(state, name)
+
+
+def _build_full_pool(state: HostState, name: str) -> Pool:
+    """Return a pool with every failure domain's share, full of tokens."""
+    pool = Pool(0)
+    state.limits.pools[name] = pool
+    for domain in state.inventory.failure_domains:
+        source = OWN if domain == state.failure_domain else domain
+        share = compute_share(state.inventory, domain, name)
+        pool.put(source, Source(share, sys.maxsize), share.burst * TOKEN)
+    return pool
 
 
 def build_arrival(
--- a/packages/almondgap-testkit/almondgap_testkit/fakes/world.py
+++ b/packages/almondgap-testkit/almondgap_testkit/fakes/world.py
@@ -170,7 +170,7 @@
         """Begin a host's planned stop."""
 
         def begin() -> None:
-            self._feed(name, events.DrainRequested(self.read_clock(name)))
+            self.feed(name, events.DrainRequested(self.read_clock(name)))
 
         self._enter(name, self.hosts[name].state, begin)
 
@@ -341,7 +341,7 @@
             self._enter(name, state, lambda: arrive(body))
 
         def arrive(body: bytes | None) -> None:
-            self._feed(name, events.ObjectFetched(self.read_clock(name), wanted, body))
+            self.feed(name, events.ObjectFetched(self.read_clock(name), wanted, body))
 
         place = self.hosts[name].entry.failure_domain
         self.platform.fetch(place, wanted, report)
--- a/tests/core/limits/test_leases.py
+++ b/tests/core/limits/test_leases.py
@@ -163,3 +163,41 @@
                 key = (domain, index)
                 self.assertGreaterEqual(epoch, epochs.get(key, 0))
                 epochs[key] = epoch
+
+
+class OutageTests(TestCase):
+    def build_world(self) -> World:
+        world = World(build_text(), HOSTS)
+        world.run(seconds(8))
+        return world
+
+    def test_outage_of_a_minute_is_served(self):
+        world = self.build_world()
+        world.platform.down = True
+        for _ in range(60):
+            world.run(seconds(1))
+            for domain in ("a", "b"):
+                for index, holders in list_holders(world, domain).items():
+                    self.assertEqual(len(holders), 1, f"{domain}/{index}")
+
+    def test_crashed_witness_ends_the_hold(self):
+        world = self.build_world()
+        world.platform.down = True
+        world.run(seconds(20))
+        world.crash("a-3")
+        world.run(seconds(20))
+        held = [h for h in list_holders(world, "a").values() if h]
+        self.assertEqual(held, [])
+
+    def test_holder_cut_from_the_store_goes_on_by_promises(self):
+        world = self.build_world()
+        world.network.cut("a", "platform")
+        world.run(seconds(100))
+        for holders in list_holders(world, "a").values():
+            self.assertEqual(len(holders), 1)
+
+    def test_hold_ends(self):
+        world = self.build_world()
+        world.network.cut("b", "platform")
+        world.run(seconds(140))
+        self.assertEqual([h for h in list_holders(world, "b").values() if h], [])
