--- a/packages/almondgap-testkit/almondgap_testkit/fakes/world.py
+++ b/packages/almondgap-testkit/almondgap_testkit/fakes/world.py
@@ -243,7 +243,7 @@
     def _enter(self, name: str, state: HostState, action: Callable[[], None]) -> None:
         """Let a host do something, unless it is another run of it by now."""
         host = self.hosts[name]
-        if host.state is not state:
+        if state is None or host.state is not state:
             return
         if host.paused:
             host.inbox.append(lambda: self._enter(name, state, action))
@@ -255,8 +255,9 @@
         host = self.hosts[name]
         if self.keep_events:
             host.log.events.append(event)
-        for effect in step(host.state, event):
-            self._perform(name, host.state, effect)
+        state = host.state
+        for effect in step(state, event):
+            self._perform(name, state, effect)
 
     def _tick(self, name: str, state: HostState) -> None:
         def tick() -> None:
