--- a/tests/core/membership/test_membership.py
+++ b/tests/core/membership/test_membership.py
@@ -44,6 +44,8 @@
 
     def test_every_host_learns_every_holder_and_load_under_loss(self):
         world = World(build_fleet_text(4), place_hosts(10, 4), seed=3)
+        world.run(seconds(0.5))
+        self.assertTrue(all(h.state.inventory for h in world.hosts.values()))
         world.network.loss = 0.2
         world.network.repeat = 0.2
         world.run(seconds(20))
