Hand a target's slots out from one owner, with a fair queue

Cause: a host could use only the targets whose partitions it held, a request without a free slot was refused at once, and a slot whose asker died was lost.

Ruled out: static parts of a target's slots over hosts (3 slots, 10 hosts); freeing a slot whenever its asker says so (a target across a cut goes on until its deadline); probing far owners without a report of free slots.

Change: an owner grants numbered slots to any host, counts each busy until it is given back after a whole answer, or until the request's deadline has passed by its own clock, and takes all as busy after an unclean takeover. Asks wait in a bounded queue: fewest slots in use for the weight first; a full queue drops from the account that waits with the most. Ejection, ramp and power of two choices by what the owner sees. Targets in the test world give up at deadlines and when a connection closes.

--- a/packages/almondgap-core/almondgap_core/events.py
+++ b/packages/almondgap-core/almondgap_core/events.py
@@ -227,8 +227,12 @@
     """Internal: an attempt ended, so its slot is free.
 
     :ivar outcome: how the attempt ended, or None if it never started.
+    :ivar status: status of the target's answer, 0 without one.
+    :ivar shed: whether the answer proved that nothing ran.
     """
 
     req_id: str
     target: str
     outcome: AttemptOutcome | None
+    status: int = 0
+    shed: bool = False
--- a/packages/almondgap-core/almondgap_core/lifecycle.py
+++ b/packages/almondgap-core/almondgap_core/lifecycle.py
@@ -13,8 +13,9 @@
 
 
 def handle_tick(state: HostState, event: Tick) -> None:
-    """End the planned stop once no request is left."""
-    if state.stopping and not state.stopped and not state.requests.open:
+    """End the planned stop once no request and no slot handed out is left."""
+    busy = state.requests.open or state.steering.grants
+    if state.stopping and not state.stopped and not busy:
         state.stopped = True
         state.perform(Stopped())
 
--- a/packages/almondgap-core/almondgap_core/limits/partitions.py
+++ b/packages/almondgap-core/almondgap_core/limits/partitions.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 import hashlib
 
 from attrs import frozen
@@ -31,6 +32,10 @@
 
     :param name: a target, a client account's limit, or another thing that is owned.
     """
+    return Partition(failure_domain, _hash(name) % inventory.partitions_per_domain)
+
+
+@functools.lru_cache(maxsize=65_536)
+def _hash(name: str) -> int:
     digest = hashlib.blake2b(name.encode(), digest_size=8).digest()
-    index = int.from_bytes(digest, "big") % inventory.partitions_per_domain
-    return Partition(failure_domain, index)
+    return int.from_bytes(digest, "big")
--- a/packages/almondgap-core/almondgap_core/membership/heartbeats.py
+++ b/packages/almondgap-core/almondgap_core/membership/heartbeats.py
@@ -22,34 +22,13 @@
     pack_loads,
     unpack_loads,
 )
+from almondgap_core.membership.suspicion import is_alive
 from almondgap_core.state import HostState
 from almondgap_core.steering.loads import measure_loads
 from almondgap_core.units import MICROS_PER_MILLI, MICROS_PER_SECOND
 
 HEARTBEAT_INTERVAL_US = MICROS_PER_SECOND
 
-#: Silence after which a host of the same failure domain is suspected.
-SUSPICION_US = 3 * MICROS_PER_SECOND
-
-#: The same for a host of another failure domain, which speaks less often.
-FAR_SUSPICION_US = LINKS_PER_DOMAIN * SUSPICION_US
-
-
-def is_alive(state: HostState, host: str, now: int) -> bool:
-    """Return whether a host was heard lately.
-
-    A suspicion, never evidence: nobody's safety may depend on it. Hosts of other
-    failure domains that have no link to this one are never heard.
-    """
-    if host == state.host:
-        return True
-    peer = state.members.peers.get(host)
-    if peer is None:
-        return False
-    entry = state.members.listed.get(host)
-    near = entry is None or entry.failure_domain == state.failure_domain
-    return now - peer.heard <= (SUSPICION_US if near else FAR_SUSPICION_US)
-
 
 def handle_tick(state: HostState, event: Tick) -> None:
     """Send heartbeats and reports when it is time."""
--- /dev/null
+++ b/packages/almondgap-core/almondgap_core/membership/suspicion.py
@@ -0,0 +1,29 @@
+"""Suspicion: which hosts are thought alive; nobody's safety may depend on it."""
+
+from __future__ import annotations
+
+from almondgap_core.membership.links import LINKS_PER_DOMAIN
+from almondgap_core.state import HostState
+from almondgap_core.units import MICROS_PER_SECOND
+
+#: Silence after which a host of the same failure domain is suspected.
+SUSPICION_US = 3 * MICROS_PER_SECOND
+
+#: The same for a host of another failure domain, which speaks less often.
+FAR_SUSPICION_US = LINKS_PER_DOMAIN * SUSPICION_US
+
+
+def is_alive(state: HostState, host: str, now: int) -> bool:
+    """Return whether a host was heard lately.
+
+    A suspicion, never evidence: nobody's safety may depend on it. Hosts of other
+    failure domains that have no link to this one are never heard.
+    """
+    if host == state.host:
+        return True
+    peer = state.members.peers.get(host)
+    if peer is None:
+        return False
+    entry = state.members.listed.get(host)
+    near = entry is None or entry.failure_domain == state.failure_domain
+    return now - peer.heard <= (SUSPICION_US if near else FAR_SUSPICION_US)
--- a/packages/almondgap-core/almondgap_core/reducer.py
+++ b/packages/almondgap-core/almondgap_core/reducer.py
@@ -14,7 +14,7 @@
 from almondgap_core.requests import flow
 from almondgap_core.settings import rollout
 from almondgap_core.state import HostState
-from almondgap_core.steering import targets
+from almondgap_core.steering import ownership, ramp, seeking, slots
 
 EventHandler = Callable[[HostState, Event], None]
 MessageHandler = Callable[[HostState, str, Message, int], None]
@@ -28,13 +28,25 @@
     minting,
     asking,
     admission,
-    targets,
+    ownership,
+    ramp,
+    slots,
+    seeking,
     flow,
     lifecycle,
 )
 
 #: Modules that handle messages from other hosts.
-MESSAGE_MODULES = (heartbeats, directory, holder, asking, handover, minting)
+MESSAGE_MODULES = (
+    heartbeats,
+    directory,
+    holder,
+    asking,
+    handover,
+    minting,
+    slots,
+    seeking,
+)
 
 
 def _collect_event_handlers() -> dict[type[Event], tuple[EventHandler, ...]]:
--- a/packages/almondgap-core/almondgap_core/requests/flow.py
+++ b/packages/almondgap-core/almondgap_core/requests/flow.py
@@ -38,6 +38,7 @@
 from almondgap_core.requests.record import RequestRecord, Stage
 from almondgap_core.settings.inventory import Service
 from almondgap_core.state import HostState
+from almondgap_core.steering.events import SlotWithdrawn
 from almondgap_core.units import MICROS_PER_SECOND
 from almondgap_core.verdict import Reason, Refusal, Verdict
 
@@ -120,6 +121,8 @@
         state.emit(SlotReleased(event.now, event.req_id, event.target, None))
         return
     record.stage = Stage.RUNNING
+    record.status = 0
+    record.shed = False
     record.attempt += 1
     record.target = event.target
     target = state.inventory.targets[event.target]
@@ -147,13 +150,14 @@
         return
     service = state.inventory.services.get(record.service)
     shed = event.status == STATUS_SHED and service and service.shed_is_not_run
+    record.status = event.status
+    record.shed = bool(shed)
     if shed and _may_try_again(record, event.now):
         state.perform(CancelAttempt(record.req_id, record.attempt))
         _release(state, record, AttemptOutcome.CANCELLED, event.now)
         _ask_slot(state, record, event.now)
         return
     record.stage = Stage.ANSWERING
-    record.status = event.status
     record.verdict = _judge_answer(record, bool(shed))
     state.perform(Relay(record.req_id, record.attempt, record.verdict))
 
@@ -186,6 +190,8 @@
     if ran:
         state.perform(CancelAttempt(record.req_id, record.attempt))
         _release(state, record, AttemptOutcome.CANCELLED, event.now)
+    else:
+        state.emit(SlotWithdrawn(event.now, record.req_id))
     verdict = Verdict.MAY_HAVE_RUN if ran else Verdict.NOT_RUN
     _record_end(state, record, 0, verdict, event.now)
 
@@ -269,7 +275,10 @@
 
 def _release(state: HostState, record: RequestRecord, outcome, now: int) -> None:
     record.tried = (*record.tried, record.target)
-    state.emit(SlotReleased(now, record.req_id, record.target, outcome))
+    released = SlotReleased(
+        now, record.req_id, record.target, outcome, record.status, record.shed
+    )
+    state.emit(released)
 
 
 def _finish_answer(
--- a/packages/almondgap-core/almondgap_core/requests/record.py
+++ b/packages/almondgap-core/almondgap_core/requests/record.py
@@ -30,7 +30,8 @@
     :ivar target: target of the latest attempt.
     :ivar tried: targets that failed.
     :ivar exposed: whether an earlier attempt may have run.
-    :ivar status: status of the answer that is being relayed.
+    :ivar status: status of the latest attempt's answer, 0 without one.
+    :ivar shed: whether that answer proved that nothing ran.
     :ivar verdict: verdict of the answer that is being relayed.
     :ivar operation: the caller's ``Idempotency-Key``, empty without one.
     :ivar answer: the operation's answer, if it came whole and is short.
@@ -51,3 +52,4 @@
     verdict: Verdict = Verdict.RAN
     operation: str = ""
     answer: KeptAnswer | None = None
+    shed: bool = False
--- /dev/null
+++ b/packages/almondgap-core/almondgap_core/steering/ejection.py
@@ -0,0 +1,144 @@
+"""Ejection: targets that fail take no work until a single request proves them well.
+
+What counts is what this host sees of answers; what a target says of itself does not.
+"""
+
+from __future__ import annotations
+
+from almondgap_core.effects import LogEntry
+from almondgap_core.membership.summary import compute_key
+from almondgap_core.membership.suspicion import is_alive
+from almondgap_core.settings.inventory import Target
+from almondgap_core.state import HostState
+from almondgap_core.steering.ownership import is_blocked, list_owned_targets
+from almondgap_core.steering.results import SlotResult
+from almondgap_core.steering.state import TargetView
+from almondgap_core.units import MICROS_PER_SECOND
+
+#: Failures in a row that eject a target.
+FAILURES_IN_ROW = 5
+
+#: Share of failures that ejects a target, if it is twice that of the others.
+FAILURE_SHARE = 0.5
+
+#: Results that a share of failures needs.
+LEAST_RESULTS = 10
+
+#: Weight of the newest result in the moving averages.
+NEWEST = 0.1
+
+#: Most of a service's slots in a failure domain that ejections may take, as a divisor.
+MAX_SHARE_DIVISOR = 2
+
+EJECTION_US = 5 * MICROS_PER_SECOND
+MAX_EJECTION_US = 60 * MICROS_PER_SECOND
+
+#: Time over which a cold target comes to take all its slots.
+RAMP_US = 10 * MICROS_PER_SECOND
+
+
+def find_view(state: HostState, target: str) -> TargetView:
+    """Return what this host sees of a target."""
+    return state.steering.views.setdefault(target, TargetView())
+
+
+def compute_room(state: HostState, target: Target, now: int) -> int:
+    """Return how many slots of a target may be in use at once now."""
+    view = find_view(state, target.name)
+    if view.ejected_until is not None:
+        return 1 if now >= view.ejected_until else 0
+    if view.warm_since is None:
+        return target.slots
+    elapsed = now - view.warm_since
+    if elapsed >= RAMP_US:
+        view.warm_since = None
+        return target.slots
+    return max(1, target.slots * elapsed // RAMP_US)
+
+
+def note_result(state, target: Target, result: SlotResult, held: int, now: int):
+    """Learn from the end of an attempt; eject the target or take it back.
+
+    :param held: time for which the slot was held, in microseconds.
+    """
+    if result in (SlotResult.UNUSED, SlotResult.UNSETTLED):
+        return
+    view = find_view(state, target.name)
+    failed = result.blames_target
+    view.results += 1
+    view.errors += NEWEST * (failed - view.errors)
+    view.sheds += NEWEST * ((result is SlotResult.SHED) - view.sheds)
+    if result is SlotResult.SERVED:
+        view.latency += NEWEST * (held - view.latency) if view.latency else held
+    view.in_row = view.in_row + 1 if failed else 0
+    if view.ejected_until is not None:
+        _end_probe(state, target, view, failed, now)
+    elif (
+        failed and _is_bad(state, target, view, now) and _may_eject(state, target, now)
+    ):
+        _eject(state, target, view, now)
+
+
+def _end_probe(state: HostState, target: Target, view, failed: bool, now: int) -> None:
+    if now < view.ejected_until:
+        return
+    if failed:
+        _eject(state, target, view, now)
+        return
+    views = state.steering.views
+    views[target.name] = TargetView(latency=view.latency, warm_since=now)
+    fields = (("target", target.name),)
+    state.perform(LogEntry("target back", fields))
+
+
+def _is_bad(state: HostState, target: Target, view: TargetView, now: int) -> bool:
+    if view.in_row >= FAILURES_IN_ROW:
+        return True
+    if view.results < LEAST_RESULTS or view.errors < FAILURE_SHARE:
+        return False
+    others = [
+        find_view(state, other.name).errors
+        for other in list_owned_targets(state, target.service, now)
+        if other.name != target.name
+    ]
+    return not others or view.errors >= 2 * sum(others) / len(others)
+
+
+def _may_eject(state: HostState, target: Target, now: int) -> bool:
+    """Return whether enough slots are left in the failure domain without a target.
+
+    Slots that other owners of the failure domain do not report count as gone.
+    """
+    total = sum(
+        other.slots
+        for other in state.inventory.targets.values()
+        if (other.service, other.failure_domain)
+        == (target.service, target.failure_domain)
+        and not other.draining
+    )
+    left = count_open_slots(state, target.service, now) - target.slots
+    key = compute_key(target.service)
+    for name, peer in state.members.peers.items():
+        entry = state.members.listed.get(name)
+        near = entry is not None and entry.failure_domain == state.failure_domain
+        if near and is_alive(state, name, now):
+            left += sum(load.slots for load in peer.loads if load.key == key)
+    return left * MAX_SHARE_DIVISOR >= total
+
+
+def count_open_slots(state: HostState, service: str, now: int) -> int:
+    """Return the slots of owned targets that are neither ejected nor blocked."""
+    return sum(
+        target.slots
+        for target in list_owned_targets(state, service, now)
+        if find_view(state, target.name).ejected_until is None
+        and not is_blocked(state, target, now)
+    )
+
+
+def _eject(state: HostState, target: Target, view: TargetView, now: int) -> None:
+    duration = min(EJECTION_US << min(view.ejections, 8), MAX_EJECTION_US)
+    view.ejections += 1
+    view.ejected_until = now + duration
+    fields = (("target", target.name), ("ejections", view.ejections))
+    state.perform(LogEntry("target ejected", fields))
--- a/packages/almondgap-core/almondgap_core/steering/loads.py
+++ b/packages/almondgap-core/almondgap_core/steering/loads.py
@@ -4,18 +4,39 @@
 
 from almondgap_core.membership.summary import ServiceLoad, compute_key
 from almondgap_core.state import HostState
-from almondgap_core.steering.targets import list_owned_targets
+from almondgap_core.steering.ejection import count_open_slots
+from almondgap_core.steering.ownership import list_owned_targets
+from almondgap_core.steering.slots import count_waiting
+from almondgap_core.steering.state import ServiceTally
+from almondgap_core.units import MICROS_PER_SECOND
 
 
 def measure_loads(state: HostState, now: int) -> list[ServiceLoad]:
-    """Return the load of each service that this host owns targets of."""
+    """Return the load of each service that this host owns targets of.
+
+    Counts begin anew with each call.
+    """
     if state.inventory is None:
         return []
-    loads = []
-    for name in state.inventory.services:
-        targets = list_owned_targets(state, name, now)
-        if targets:
-            slots = sum(target.slots for target in targets)
-            used = sum(state.steering.slots_used.get(t.name, 0) for t in targets)
-            loads.append(ServiceLoad(compute_key(name), slots, used, 0, 0, 0))
-    return loads
+    names = state.inventory.services
+    return [
+        _measure_load(state, name, now)
+        for name in names
+        if list_owned_targets(state, name, now)
+    ]
+
+
+def _measure_load(state: HostState, service: str, now: int) -> ServiceLoad:
+    targets = list_owned_targets(state, service, now)
+    used = sum(state.steering.slots_used.get(t.name, 0) for t in targets)
+    tally = state.steering.tallies.get(service, ServiceTally())
+    state.steering.tallies[service] = ServiceTally(since=now)
+    elapsed = max(now - tally.since, 1)
+    return ServiceLoad(
+        compute_key(service),
+        count_open_slots(state, service, now),
+        used,
+        count_waiting(state, service),
+        tally.granted * MICROS_PER_SECOND // elapsed,
+        tally.failed * MICROS_PER_SECOND // elapsed,
+    )
--- /dev/null
+++ b/packages/almondgap-core/almondgap_core/steering/owners.py
@@ -0,0 +1,102 @@
+"""Owners: which hosts to ask for a slot, and in which order."""
+
+from __future__ import annotations
+
+from collections import deque
+
+from almondgap_core.limits.partitions import find_partition
+from almondgap_core.membership.directory import find_owner
+from almondgap_core.settings.inventory import Inventory, Target
+from almondgap_core.state import HostState
+from almondgap_core.units import MICROS_PER_SECOND
+
+#: Owners that one request asks for a free slot, beside its own host.
+MAX_OWNERS = 4
+
+#: Owners in whose queue one request may wait, one after the other.
+MAX_QUEUES = 2
+
+#: Age from which a summary says nothing any more.
+SUMMARY_LIFE_US = 10 * MICROS_PER_SECOND
+
+#: Distances that come before any between regions, in milliseconds one way.
+SAME_HOST = -3.0
+SAME_DOMAIN = -2.0
+SAME_REGION = -1.0
+
+
+def make_plan(
+    state: HostState, service: str, exclude: tuple[str, ...], now: int
+) -> deque[tuple[str, bool]]:
+    """Return the owners to ask, each with whether to wait in its queue.
+
+    First the nearest others that seem to have free slots, then the nearest at all.
+    """
+    owners = list_owners(state, service, exclude, now)
+    others = [name for name in owners if name != state.host]
+    free = [name for name in others if seems_free(state, name, service, now)]
+    tries = [(name, False) for name in free[:MAX_OWNERS]]
+    queues = [(name, True) for name in owners[:MAX_QUEUES]]
+    return deque([*tries, *queues])
+
+
+def list_owners(
+    state: HostState, service: str, exclude: tuple[str, ...], now: int
+) -> list[str]:
+    """Return the hosts that hold targets of a service, the nearest first."""
+    distances: dict[str, tuple[float, int]] = {}
+    for name in state.inventory.services[service].targets:
+        target = state.inventory.targets[name]
+        if target.draining or name in exclude:
+            continue
+        owner = _find_owner(state, target, now)
+        if owner is None or owner in distances:
+            continue
+        far = measure_distance(state, target)
+        distances[owner] = (SAME_HOST if owner == state.host else far, state.draw(256))
+    return sorted(distances, key=distances.__getitem__)
+
+
+def seems_free(state: HostState, owner: str, service: str, now: int) -> bool:
+    """Return whether the owner's failure domain reported free slots lately.
+
+    No report, or an old one, never attracts requests.
+    """
+    entry = state.members.listed.get(owner)
+    if entry is None:
+        return False
+    peer = state.members.peers.get(owner)
+    if peer is not None and peer.stopping:
+        return False
+    summary = state.members.summaries.get(entry.failure_domain)
+    if summary is None or summary.measure_age(now) > SUMMARY_LIFE_US:
+        return False
+    load = summary.find_load(service)
+    return load is not None and load.waiting == 0 and load.used < load.slots
+
+
+def measure_distance(state: HostState, target: Target) -> float:
+    """Return how far a target is, in milliseconds one way, or less than 0 if near."""
+    inventory = state.inventory
+    if target.failure_domain == state.failure_domain:
+        return SAME_DOMAIN
+    here = _find_position(inventory, state.failure_domain)
+    there = _find_position(inventory, target.failure_domain)
+    if here is None or there is None:
+        return float("inf")
+    if here[0] == there[0]:
+        return SAME_REGION
+    (east, north), (other_east, other_north) = here[1], there[1]
+    return ((east - other_east) ** 2 + (north - other_north) ** 2) ** 0.5
+
+
+def _find_position(inventory: Inventory, failure_domain: str):
+    domain = inventory.failure_domains.get(failure_domain)
+    if domain is None:
+        return None
+    return domain.region, inventory.regions[domain.region].position
+
+
+def _find_owner(state: HostState, target: Target, now: int) -> str | None:
+    partition = find_partition(state.inventory, target.failure_domain, target.name)
+    return find_owner(state, partition, now)
--- /dev/null
+++ b/packages/almondgap-core/almondgap_core/steering/ramp.py
@@ -0,0 +1,30 @@
+"""Ramp: targets that are new, or back from a drain, begin with little work."""
+
+from __future__ import annotations
+
+from almondgap_core.events import Event, Tick
+from almondgap_core.state import HostState
+from almondgap_core.steering.state import TargetView
+
+
+def handle_tick(state: HostState, event: Tick) -> None:
+    """Mark targets as cold that a new configuration version brought.
+
+    The first version that a host has says nothing of which targets are new.
+    """
+    steering = state.steering
+    if state.inventory is None or steering.version == state.settings.version:
+        return
+    first = steering.version == 0
+    steering.version = state.settings.version
+    targets = state.inventory.targets.values()
+    active = frozenset(target.name for target in targets if not target.draining)
+    for name in steering.known - active:
+        steering.views.pop(name, None)
+    if not first:
+        for name in active - steering.known:
+            steering.views[name] = TargetView(warm_since=event.now)
+    steering.known = active
+
+
+EVENT_HANDLERS: dict[type[Event], object] = {Tick: handle_tick}
--- /dev/null
+++ b/packages/almondgap-core/almondgap_core/steering/slots.py
@@ -0,0 +1,237 @@
+"""Slots: the owner of targets hands their slots out, one at a time."""
+
+from __future__ import annotations
+
+from almondgap_core.effects import SendMessage
+from almondgap_core.events import Event, PeerMessage, Tick
+from almondgap_core.messages import Message
+from almondgap_core.state import HostState
+from almondgap_core.steering.ejection import note_result
+from almondgap_core.steering.messages import (
+    DenialReason,
+    SlotAsk,
+    SlotDenial,
+    SlotGrant,
+    SlotReturn,
+)
+from almondgap_core.steering.ownership import list_owned_targets, stretch
+from almondgap_core.steering.queue import AskKey, FairQueue, Waiter
+from almondgap_core.steering.results import SlotResult
+from almondgap_core.steering.state import Grant, ServiceTally
+from almondgap_core.steering.targets import choose_target
+from almondgap_core.units import MICROS_PER_MILLI
+
+#: Asks that may wait for each slot of the targets that a host owns.
+WAITERS_PER_SLOT = 8
+
+#: Time between two looks at what ran out.
+SWEEP_US = 50 * MICROS_PER_MILLI
+
+
+def send(state: HostState, host: str, message: Message, now: int) -> None:
+    """Send a message to a host, which may be this one."""
+    if host == state.host:
+        state.emit(PeerMessage(now, host, message))
+    else:
+        state.perform(SendMessage(host, message))
+
+
+def handle_ask(state: HostState, host: str, message: SlotAsk, now: int) -> None:
+    """Grant a slot, let the ask wait, or deny it.
+
+    An ask that came before gets the same answer; none jumps the queue.
+    """
+    steering = state.steering
+    key = (host, message.number)
+    grant = steering.grants.get(key)
+    if grant is not None:
+        send(state, host, SlotGrant(message.number, grant.target), now)
+        return
+    queue = _find_queue(state, message.service, now)
+    if queue is None:
+        _deny(state, key, DenialReason.NOT_OWNER, now)
+        return
+    if key in queue:
+        return
+    waiter = _make_waiter(state, key, message, now)
+    if not queue:
+        target = choose_target(state, message.service, message.exclude, now)
+        if target is not None:
+            _grant(state, waiter, target.name, now)
+            return
+    if message.wait <= 0:
+        _deny(state, key, DenialReason.BUSY, now)
+    elif _is_hopeless(state, queue, waiter, now):
+        _deny(state, key, DenialReason.TOO_LATE, now)
+    else:
+        dropped = queue.push(waiter)
+        if dropped is not None:
+            _deny(state, dropped.key, DenialReason.FULL, now)
+        _serve(state, message.service, now)
+
+
+def handle_return(state: HostState, host: str, message: SlotReturn, now: int) -> None:
+    """Free a slot, unless the target may still be at work, or a place in the queue."""
+    key = (host, message.number)
+    grant = state.steering.grants.get(key)
+    if grant is None:
+        for queue in state.steering.queues.values():
+            queue.remove(key)
+        return
+    if grant.returned:
+        return
+    result = _read_result(message.result)
+    grant.returned = True
+    if result.frees_slot:
+        _free(state, key, now)
+    _learn(state, grant, result, now)
+    _serve(state, grant.service, now)
+
+
+def handle_tick(state: HostState, event: Tick) -> None:
+    """Free slots whose time is over and drop asks that cannot make it."""
+    steering = state.steering
+    if event.now < steering.next_sweep:
+        return
+    steering.next_sweep = event.now + SWEEP_US
+    over = [key for key, grant in steering.grants.items() if event.now >= grant.ends]
+    for key in over:
+        _free(state, key, event.now)
+    for service, queue in list(steering.queues.items()):
+        _sweep(state, service, queue, event.now)
+
+
+def count_waiting(state: HostState, service: str) -> int:
+    """Return how many asks for a service wait at this host."""
+    return len(state.steering.queues.get(service, ()))
+
+
+def _sweep(state: HostState, service: str, queue: FairQueue, now: int) -> None:
+    if _find_queue(state, service, now) is None:
+        for waiter in list(queue.keys.values()):
+            queue.remove(waiter.key)
+            _deny(state, waiter.key, DenialReason.NOT_OWNER, now)
+        del state.steering.queues[service]
+        return
+    for waiter in queue.remove_late(now):
+        _deny(state, waiter.key, DenialReason.TOO_LATE, now)
+    _serve(state, service, now)
+
+
+def _find_queue(state: HostState, service: str, now: int) -> FairQueue | None:
+    """Return the queue of a service, or None if this host owns no target of it."""
+    if state.inventory is None or service not in state.inventory.services:
+        return None
+    if state.stopping and not state.requests.open:
+        return None
+    owned = list_owned_targets(state, service, now)
+    if not owned:
+        return None
+    limit = WAITERS_PER_SLOT * sum(target.slots for target in owned)
+    queue = state.steering.queues.setdefault(service, FairQueue(limit))
+    queue.limit = limit
+    return queue
+
+
+def _make_waiter(state: HostState, key: AskKey, message: SlotAsk, now: int) -> Waiter:
+    account = state.inventory.accounts.get(message.account)
+    weight = 1 if account is None else account.weight
+    deadline = state.inventory.services[message.service].deadline
+    remaining = min(message.remaining, deadline)
+    latest = now + min(message.wait, remaining - _measure_held(state, message.service))
+    ends = now + stretch(remaining)
+    return Waiter(
+        key, message.service, message.account, weight, message.exclude, latest, ends
+    )
+
+
+def _measure_held(state: HostState, service: str) -> int:
+    """Return the mean time that a slot of a service is held, 0 if unknown."""
+    views = state.steering.views
+    names = state.inventory.services[service].targets
+    known = [views[name].latency for name in names if name in views]
+    known = [latency for latency in known if latency]
+    return int(sum(known) / len(known)) if known else 0
+
+
+def _is_hopeless(state: HostState, queue: FairQueue, waiter: Waiter, now: int) -> bool:
+    """Return whether an ask cannot expect a slot while it is of use."""
+    if now >= waiter.latest:
+        return True
+    slots = queue.limit // WAITERS_PER_SLOT
+    ahead = queue.count_ahead(waiter.account, waiter.weight)
+    expected = ahead * _measure_held(state, waiter.service) / slots
+    return now + expected > waiter.latest
+
+
+def _serve(state: HostState, service: str, now: int) -> None:
+    """Hand free slots out to those that wait."""
+    queue = state.steering.queues.get(service)
+    if not queue or _find_queue(state, service, now) is None:
+        return
+
+    def choose(waiter: Waiter) -> str | None:
+        if now >= waiter.latest:
+            return None
+        target = choose_target(state, service, waiter.exclude, now)
+        return None if target is None else target.name
+
+    used = state.steering.account_slots.setdefault(service, {})
+    while True:
+        served = queue.serve(used, choose)
+        if served is None:
+            return
+        _grant(state, *served, now)
+
+
+def _grant(state: HostState, waiter: Waiter, target: str, now: int) -> None:
+    steering = state.steering
+    steering.grants[waiter.key] = Grant(
+        target, waiter.service, waiter.account, now, waiter.ends
+    )
+    steering.slots_used[target] = steering.slots_used.get(target, 0) + 1
+    used = steering.account_slots.setdefault(waiter.service, {})
+    used[waiter.account] = used.get(waiter.account, 0) + 1
+    _find_tally(state, waiter.service).granted += 1
+    host, number = waiter.key
+    send(state, host, SlotGrant(number, target), now)
+
+
+def _free(state: HostState, key: AskKey, now: int) -> None:
+    steering = state.steering
+    grant = steering.grants.pop(key)
+    steering.slots_used[grant.target] -= 1
+    used = steering.account_slots[grant.service]
+    used[grant.account] -= 1
+    if not used[grant.account]:
+        del used[grant.account]
+
+
+def _learn(state: HostState, grant: Grant, result: SlotResult, now: int) -> None:
+    if state.inventory is None:
+        return
+    target = state.inventory.targets.get(grant.target)
+    if target is not None:
+        note_result(state, target, result, now - grant.since, now)
+    if result.blames_target:
+        _find_tally(state, grant.service).failed += 1
+
+
+def _find_tally(state: HostState, service: str) -> ServiceTally:
+    return state.steering.tallies.setdefault(service, ServiceTally())
+
+
+def _read_result(value: int) -> SlotResult:
+    try:
+        return SlotResult(value)
+    except ValueError:
+        return SlotResult.UNSETTLED
+
+
+def _deny(state: HostState, key: AskKey, reason: DenialReason, now: int) -> None:
+    host, number = key
+    send(state, host, SlotDenial(number, int(reason)), now)
+
+
+EVENT_HANDLERS: dict[type[Event], object] = {Tick: handle_tick}
+MESSAGE_HANDLERS = {SlotAsk: handle_ask, SlotReturn: handle_return}
--- a/packages/almondgap-core/almondgap_core/steering/state.py
+++ b/packages/almondgap-core/almondgap_core/steering/state.py
@@ -2,14 +2,143 @@
 
 from __future__ import annotations
 
+from collections import deque
+
 from attrs import Factory, define
 
+from almondgap_core.limits.partitions import Partition
+from almondgap_core.steering.queue import AskKey, FairQueue
+
+
+@define
+class Grant:
+    """A slot that this host handed out.
+
+    :ivar since: when it was handed out, in microseconds.
+    :ivar ends: time after which the asker and the target are done with it for sure.
+    :ivar returned: whether the asker is done with it, though the target may not be.
+    """
+
+    target: str
+    service: str
+    account: str
+    since: int
+    ends: int
+    returned: bool = False
+
+
+@define
+class TargetView:
+    """What this host sees of a target that it owns.
+
+    :ivar latency: moving average of the time that a slot is held, in microseconds.
+    :ivar errors: moving average of failures, 0 to 1.
+    :ivar sheds: moving average of shed answers, 0 to 1.
+    :ivar in_row: failures without a success between them.
+    :ivar results: results since the target came or came back.
+    :ivar warm_since: when its ramp began, or None if it is not cold.
+    :ivar ejected_until: end of its ejection, or None if it takes work.
+    :ivar ejections: ejections without a success between them.
+    """
+
+    latency: float = 0.0
+    errors: float = 0.0
+    sheds: float = 0.0
+    in_row: int = 0
+    results: int = 0
+    warm_since: int | None = None
+    ejected_until: int | None = None
+    ejections: int = 0
+
+
+@define
+class ServiceTally:
+    """Counts of one service at its owner since the last heartbeat."""
+
+    granted: int = 0
+    failed: int = 0
+    since: int = 0
+
+
+@define
+class Takeover:
+    """Since when this host holds a partition.
+
+    :ivar blocked_from: when slots of earlier holders may still be in use from, or None
+        if none can be.
+    """
+
+    epoch: int
+    blocked_from: int | None
+
+
+@define
+class Ask:
+    """A request of this host that looks for a slot.
+
+    :ivar plan: owners still to ask, best first, each with whether to wait there;
+        None while only this host was asked.
+    :ivar owner: owner that was asked last.
+    :ivar timeout: when to give up on its answer, in microseconds.
+    """
+
+    number: int
+    req_id: str
+    service: str
+    account: str
+    deadline: int
+    exclude: tuple[str, ...]
+    plan: deque[tuple[str, bool]] | None = None
+    owner: str = ""
+    timeout: int = 0
+
+
+@define
+class HeldSlot:
+    """A slot that a request of this host uses.
+
+    :ivar owner: host that handed it out under ``number``.
+    """
+
+    owner: str
+    number: int
+
 
 @define
 class SteeringState:
     """Targets and places at one host.
 
-    :ivar slots_used: requests that this host runs at each target.
+    :ivar slots_used: slots of each owned target that are handed out.
+    :ivar account_slots: the same by service and client account.
+    :ivar grants: slots that this host handed out, by asker and number.
+    :ivar queues: asks that wait here, by service.
+    :ivar views: what this host sees of targets that it owns.
+    :ivar takeovers: partitions that this host holds or held.
+    :ivar clean: leases that were taken with nothing of earlier holders running.
+    :ivar placed: partition under which each target was last seen.
+    :ivar moved: when a target was last seen to change its partition.
+    :ivar asks: requests of this host that look for a slot, by number.
+    :ivar ask_numbers: number of the ask of each request that looks for a slot.
+    :ivar held: slots that requests of this host use, by request and target.
+    :ivar spent: numbers under which a slot was ever used, until their deadline.
+    :ivar known: targets of the configuration version ``version``.
     """
 
     slots_used: dict[str, int] = Factory(dict)
+    account_slots: dict[str, dict[str, int]] = Factory(dict)
+    grants: dict[AskKey, Grant] = Factory(dict)
+    queues: dict[str, FairQueue] = Factory(dict)
+    views: dict[str, TargetView] = Factory(dict)
+    tallies: dict[str, ServiceTally] = Factory(dict)
+    takeovers: dict[Partition, Takeover] = Factory(dict)
+    clean: set[tuple[Partition, int]] = Factory(set)
+    placed: dict[str, Partition] = Factory(dict)
+    moved: dict[str, int] = Factory(dict)
+    asks: dict[int, Ask] = Factory(dict)
+    ask_numbers: dict[str, int] = Factory(dict)
+    held: dict[tuple[str, str], HeldSlot] = Factory(dict)
+    spent: dict[int, int] = Factory(dict)
+    known: frozenset[str] = frozenset()
+    version: int = 0
+    asked: int = 0
+    next_sweep: int = 0
--- a/packages/almondgap-core/almondgap_core/steering/targets.py
+++ b/packages/almondgap-core/almondgap_core/steering/targets.py
@@ -1,51 +1,51 @@
-"""Targets inside a host: which one a request goes to, and the slots it holds."""
+"""Targets inside a host: which one a request goes to."""
 
 from __future__ import annotations
 
-from almondgap_core.events import SlotAsked, SlotGranted, SlotRefused, SlotReleased
-from almondgap_core.limits.leases import find_held
-from almondgap_core.limits.partitions import find_partition
 from almondgap_core.settings.inventory import Target
 from almondgap_core.state import HostState
-
-
-def handle_slot_asked(state: HostState, event: SlotAsked) -> None:
-    """Grant a slot at the least used target that this host owns."""
-    best = None
-    for target in list_owned_targets(state, event.service, event.now):
-        used = state.steering.slots_used.get(target.name, 0)
-        if target.name in event.exclude or used >= target.slots:
-            continue
-        load = used / target.slots
-        if best is None or load < best[0]:
-            best = (load, target)
-    if best is None:
-        detail = f"No target of {event.service} has a free slot."
-        state.emit(SlotRefused(event.now, event.req_id, detail))
-        return
-    name = best[1].name
-    state.steering.slots_used[name] = state.steering.slots_used.get(name, 0) + 1
-    state.emit(SlotGranted(event.now, event.req_id, name))
-
-
-def handle_slot_released(state: HostState, event: SlotReleased) -> None:
-    """Make the slot free again."""
-    state.steering.slots_used[event.target] -= 1
-
-
-def list_owned_targets(state: HostState, service: str, now: int) -> list[Target]:
-    """Return the targets of ``service`` whose slots this host hands out."""
-    owned = []
-    for name in state.inventory.services[service].targets:
-        target = state.inventory.targets[name]
-        if not target.draining and _owns(state, target, now):
-            owned.append(target)
-    return owned
-
-
-def _owns(state: HostState, target: Target, now: int) -> bool:
-    partition = find_partition(state.inventory, target.failure_domain, target.name)
-    return find_held(state, partition, now) is not None
-
-
-EVENT_HANDLERS = {SlotAsked: handle_slot_asked, SlotReleased: handle_slot_released}
+from almondgap_core.steering.ejection import compute_room, find_view
+from almondgap_core.steering.ownership import is_blocked, list_owned_targets
+
+__all__ = ["choose_target", "list_owned_targets"]
+
+#: How much a target that only fails or sheds is worse than one that never does.
+ERROR_PENALTY = 10
+
+
+def choose_target(
+    state: HostState, service: str, exclude: tuple[str, ...], now: int
+) -> Target | None:
+    """Return the better of two free targets that were drawn, or None without any.
+
+    A target is better if it is less used for what it may take, and answers faster and
+    with fewer failures, all as this host sees it.
+    """
+    free = list_free_targets(state, service, exclude, now)
+    if len(free) <= 1:
+        return free[0] if free else None
+    first = free.pop(state.draw(len(free)))
+    second = free[state.draw(len(free))]
+    return min((first, second), key=lambda target: _weigh(state, target, now))
+
+
+def list_free_targets(
+    state: HostState, service: str, exclude: tuple[str, ...], now: int
+) -> list[Target]:
+    """Return the owned targets that may take one more request."""
+    used = state.steering.slots_used
+    return [
+        target
+        for target in list_owned_targets(state, service, now)
+        if target.name not in exclude
+        and not is_blocked(state, target, now)
+        and used.get(target.name, 0) < compute_room(state, target, now)
+    ]
+
+
+def _weigh(state: HostState, target: Target, now: int) -> float:
+    view = find_view(state, target.name)
+    used = state.steering.slots_used.get(target.name, 0) + 1
+    penalty = 1 + ERROR_PENALTY * (view.errors + view.sheds)
+    load = used / compute_room(state, target, now)
+    return load * max(view.latency, 1.0) * penalty
--- a/packages/almondgap-testkit/almondgap_testkit/fakes/targets.py
+++ b/packages/almondgap-testkit/almondgap_testkit/fakes/targets.py
@@ -15,11 +15,25 @@
 Report = Callable[[int | AttemptOutcome], None]
 
 
+@define(eq=False)
+class FakeRun:
+    """One request at a target.
+
+    :ivar remaining: time until its deadline when it was sent, in microseconds.
+    """
+
+    label: str
+    report: Report
+    remaining: int
+    running: bool = False
+
+
 @define
 class FakeTarget:
     """One target.
 
     :ivar service_time: time that a request takes, in microseconds.
+    :ivar stalled: whether requests that come now never end on their own.
     :ivar ran: how often each label ran.
     :ivar overloads: requests that came when every slot was taken.
     """
@@ -28,6 +42,7 @@
     target: Target
     service_time: int = millis(10)
     shed: bool = False
+    stalled: bool = False
     unreachable: bool = False
     broken: bool = False
     status: int = 200
@@ -36,8 +51,12 @@
     started: list[int] = Factory(list)
     ran: dict[str, int] = Factory(dict)
 
-    def run(self, label: str, report: Report) -> None:
-        """Take a request; report the head and the end of the answer."""
+    def run(self, run: FakeRun) -> None:
+        """Take a request; report the head and the end of the answer.
+
+        The request is given up at its deadline, as the deadline's header asks.
+        """
+        report = run.report
         if self.unreachable:
             report(AttemptOutcome.NOT_SENT)
             return
@@ -48,14 +67,25 @@
         if self.running >= self.target.slots:
             self.overloads += 1
         self.running += 1
+        run.running = True
         self.started.append(self.clock.now)
-        self.ran[label] = self.ran.get(label, 0) + 1
-        self.clock.call_later(self.service_time, lambda: self._finish(report))
+        self.ran[run.label] = self.ran.get(run.label, 0) + 1
+        self.clock.call_later(run.remaining, lambda: self.cancel(run))
+        if not self.stalled:
+            self.clock.call_later(self.service_time, lambda: self._finish(run))
 
-    def _finish(self, report: Report) -> None:
-        self.running -= 1
+    def cancel(self, run: FakeRun) -> None:
+        """Give a request up: its connection was closed or its deadline passed."""
+        if run.running:
+            run.running = False
+            self.running -= 1
+
+    def _finish(self, run: FakeRun) -> None:
+        if not run.running:
+            return
+        self.cancel(run)
         if self.broken:
-            report(AttemptOutcome.BROKEN)
+            run.report(AttemptOutcome.BROKEN)
             return
-        report(self.status)
-        report(AttemptOutcome.COMPLETE)
+        run.report(self.status)
+        run.report(AttemptOutcome.COMPLETE)
--- a/packages/almondgap-testkit/almondgap_testkit/fakes/world.py
+++ b/packages/almondgap-testkit/almondgap_testkit/fakes/world.py
@@ -27,7 +27,7 @@
 from almondgap_testkit.fakes.clock import VirtualClock
 from almondgap_testkit.fakes.network import PLATFORM, FakeNetwork
 from almondgap_testkit.fakes.platform import FakePlatform
-from almondgap_testkit.fakes.targets import FakeTarget
+from almondgap_testkit.fakes.targets import FakeRun, FakeTarget
 
 TICK_US = millis(50)
 HOST_LIST_US = seconds(2)
@@ -126,6 +126,7 @@
         self.idempotent_labels: set[str] = set()
         self.keep_events = keep_events
         self.listed: tuple[events.HostEntry, ...] = ()
+        self._runs: dict[tuple[str, str, int], tuple[FakeRun, FakeTarget]] = {}
         self._incarnations = 0
         self.apply(text)
         for name, domain in hosts.items():
@@ -280,6 +281,8 @@
                 self._wake(name, state, effect.at)
             case effects.Dispatch():
                 self._dispatch(name, state, effect)
+            case effects.CancelAttempt():
+                self._cancel(name, effect)
             case effects.Relay():
                 self.answers[effect.req_id].verdict = effect.verdict
             case effects.Refuse():
@@ -374,9 +377,12 @@
 
         def report(progress: int | events.AttemptOutcome) -> None:
             back = self.network.measure_delay(there, here)
-            self.clock.call_later(
-                back, lambda: self._enter(name, state, lambda: arrive(progress))
-            )
+            self.clock.call_later(back, lambda: enter(progress))
+
+        def enter(progress: int | events.AttemptOutcome) -> None:
+            refused = progress is events.AttemptOutcome.NOT_SENT
+            if refused or not self.network.is_cut(here, there):
+                self._enter(name, state, lambda: arrive(progress))
 
         def arrive(progress: int | events.AttemptOutcome) -> None:
             now = self.read_clock(name)
@@ -392,7 +398,10 @@
             return
         delay = self.network.measure_delay(here, there)
         label = self.labels[effect.req_id]
-        self.clock.call_later(delay, lambda: target.run(label, report))
+        left = effect.deadline - self.read_clock(name)
+        run = FakeRun(label, report, left)
+        self._runs[name, effect.req_id, effect.attempt] = (run, target)
+        self.clock.call_later(delay, lambda: target.run(run))
         self._arm_deadline(name, state, effect)
 
     def _keep_answer(self, effect: effects.Dispatch, target: FakeTarget, outcome):
@@ -402,6 +411,18 @@
         body = f"{label} {target.ran.get(label, 0)}".encode()
         return KeptAnswer(target.status, "text/plain", body)
 
+    def _cancel(self, name: str, effect: effects.CancelAttempt) -> None:
+        """Close the connection of an attempt; a cut keeps this from the target."""
+        found = self._runs.get((name, effect.req_id, effect.attempt))
+        if found is None:
+            return
+        run, target = found
+        here = self.hosts[name].entry.failure_domain
+        there = target.target.failure_domain
+        delay = self.network.measure_delay(here, there)
+        if not self.network.is_cut(here, there):
+            self.clock.call_later(delay, lambda: target.cancel(run))
+
     def _arm_deadline(self, name: str, state, effect: effects.Dispatch) -> None:
         def give_up() -> None:
             now = self.read_clock(name)
