--- a/packages/almondgap-core/almondgap_core/eventlog.py
+++ b/packages/almondgap-core/almondgap_core/eventlog.py
@@ -7,7 +7,8 @@
 from __future__ import annotations
 
 import json
-from collections.abc import Iterable
+import typing
+from collections.abc import Iterable, Iterator
 from enum import Enum
 from typing import Any
 
@@ -16,25 +17,13 @@
 
 from almondgap_core import events
 from almondgap_core.exceptions import UserError
-from almondgap_core.keys.credential import Credential
 from almondgap_core.messages import Message, decode, encode
-from almondgap_core.platform import Row, TransactionOutcome, TransactionResult
 from almondgap_core.state import HostState
 
 _TYPE = "$type"
 _BYTES = "$bytes"
 _MESSAGE = "$message"
 
-#: Classes besides events that may stand in a log.
-_PARTS = (
-    Credential,
-    Row,
-    TransactionResult,
-    TransactionOutcome,
-    events.HostEntry,
-    events.AttemptOutcome,
-)
-
 
 @define
 class EventLog:
@@ -90,15 +79,29 @@
 
 
 def _collect_classes() -> dict[str, type]:
-    classes = {cls.__name__: cls for cls in _PARTS}
-    waiting = [events.Event]
+    """Return all classes of events and of what their fields hold, by name."""
+    classes: dict[str, type] = {}
+    waiting: list[type] = [events.Event]
     while waiting:
         cls = waiting.pop()
+        if classes.get(cls.__name__) is cls:
+            continue
         classes[cls.__name__] = cls
-        waiting.extend(cls.__subclasses__())
+        if issubclass(cls, events.Event):
+            waiting.extend(cls.__subclasses__())
+        if attrs.has(cls):
+            hints = typing.get_type_hints(cls).values()
+            waiting.extend(part for hint in hints for part in _list_parts(hint))
     return classes
 
 
+def _list_parts(hint: Any) -> Iterator[type]:
+    if isinstance(hint, type) and (attrs.has(hint) or issubclass(hint, Enum)):
+        yield hint
+    for inner in typing.get_args(hint):
+        yield from _list_parts(inner)
+
+
 def _dump(value: Any) -> Any:
     if isinstance(value, Message):
         return {_MESSAGE: encode(value).hex()}
--- a/packages/almondgap-core/almondgap_core/reducer.py
+++ b/packages/almondgap-core/almondgap_core/reducer.py
@@ -7,7 +7,7 @@
 from almondgap_core import lifecycle
 from almondgap_core.effects import Effect
 from almondgap_core.events import Event, PeerMessage
-from almondgap_core.limits import admission
+from almondgap_core.limits import admission, notices, renewal
 from almondgap_core.membership import directory, heartbeats
 from almondgap_core.messages import Message
 from almondgap_core.operations import asking, books, handover, holder, minting
@@ -23,6 +23,8 @@
 EVENT_MODULES = (
     heartbeats,
     rollout,
+    renewal,
+    notices,
     books,
     handover,
     minting,
@@ -40,6 +42,7 @@
 MESSAGE_MODULES = (
     heartbeats,
     directory,
+    notices,
     holder,
     asking,
     handover,
--- a/packages/almondgap-core/almondgap_core/state.py
+++ b/packages/almondgap-core/almondgap_core/state.py
@@ -50,6 +50,11 @@
         """The inventory in force, or None before the first."""
         return self.settings.inventory
 
+    @property
+    def is_busy(self) -> bool:
+        """Whether a caller's request or a slot that was handed out is not over."""
+        return bool(self.requests.open or self.steering.grants)
+
     def emit(self, event: Event) -> None:
         """Queue an internal event; the reducer handles it in the same step."""
         self.pending.append(event)
