Attack slots with faults and break each of their rules on purpose

Ruled out: none; the first runs found that a request was granted a slot with less time left than an answer takes, and ended as a time-out in place of a refusal.

Change: the queue looks at the deadline and at the time that slots are held when it serves, not only when an ask comes.

--- a/packages/almondgap-core/almondgap_core/steering/queue.py
+++ b/packages/almondgap-core/almondgap_core/steering/queue.py
@@ -16,7 +16,8 @@
     """An ask that waits for a slot.
 
     :ivar weight: share of its client account relative to others.
-    :ivar latest: time after which a slot is of no use, in microseconds.
+    :ivar latest: time until which the asker waits, in microseconds.
+    :ivar deadline: time by which the request has to be over.
     :ivar ends: time by which the asker stops using a slot, in microseconds.
     """
 
@@ -26,8 +27,16 @@
     weight: int
     exclude: tuple[str, ...]
     latest: int
+    deadline: int
     ends: int
 
+    def is_late(self, now: int, held: int) -> bool:
+        """Return whether a slot at ``now`` is of no use.
+
+        :param held: time for which a slot is held as a rule, in microseconds.
+        """
+        return now >= self.latest or now + held > self.deadline
+
 
 @define
 class FairQueue:
@@ -82,9 +91,9 @@
             self.floor = 0.0
         return waiter
 
-    def remove_late(self, now: int) -> list[Waiter]:
+    def remove_late(self, now: int, held: int) -> list[Waiter]:
         """Take out and return the asks for which a slot is of no use any more."""
-        late = [waiter for waiter in self.keys.values() if now >= waiter.latest]
+        late = [waiter for waiter in self.keys.values() if waiter.is_late(now, held)]
         for waiter in late:
             self.remove(waiter.key)
         return late
--- a/packages/almondgap-core/almondgap_core/steering/slots.py
+++ b/packages/almondgap-core/almondgap_core/steering/slots.py
@@ -113,7 +113,7 @@
             _deny(state, waiter.key, DenialReason.NOT_OWNER, now)
         del state.steering.queues[service]
         return
-    for waiter in queue.remove_late(now):
+    for waiter in queue.remove_late(now, _measure_held(state, service)):
         _deny(state, waiter.key, DenialReason.TOO_LATE, now)
     _serve(state, service, now)
 
@@ -138,10 +138,15 @@
     weight = 1 if account is None else account.weight
     deadline = state.inventory.services[message.service].deadline
     remaining = min(message.remaining, deadline)
-    latest = now + min(message.wait, remaining - _measure_held(state, message.service))
-    ends = now + stretch(remaining)
     return Waiter(
-        key, message.service, message.account, weight, message.exclude, latest, ends
+        key,
+        message.service,
+        message.account,
+        weight,
+        message.exclude,
+        latest=now + message.wait,
+        deadline=now + remaining,
+        ends=now + stretch(remaining),
     )
 
 
@@ -156,12 +161,10 @@
 
 def _is_hopeless(state: HostState, queue: FairQueue, waiter: Waiter, now: int) -> bool:
     """Return whether an ask cannot expect a slot while it is of use."""
-    if now >= waiter.latest:
-        return True
+    held = _measure_held(state, waiter.service)
     slots = queue.limit // WAITERS_PER_SLOT
     ahead = queue.count_ahead(waiter.account, waiter.weight)
-    expected = ahead * _measure_held(state, waiter.service) / slots
-    return now + expected > waiter.latest
+    return waiter.is_late(now + int(ahead * held / slots), held)
 
 
 def _serve(state: HostState, service: str, now: int) -> None:
@@ -170,8 +173,10 @@
     if not queue or _find_queue(state, service, now) is None:
         return
 
+    held = _measure_held(state, service)
+
     def choose(waiter: Waiter) -> str | None:
-        if now >= waiter.latest:
+        if waiter.is_late(now, held):
             return None
         target = choose_target(state, service, waiter.exclude, now)
         return None if target is None else target.name
--- a/packages/almondgap-testkit/almondgap_testkit/fakes/targets.py
+++ b/packages/almondgap-testkit/almondgap_testkit/fakes/targets.py
@@ -34,6 +34,7 @@
 
     :ivar service_time: time that a request takes, in microseconds.
     :ivar stalled: whether requests that come now never end on their own.
+    :ivar deaf: whether it does not notice that a connection was closed.
     :ivar ran: how often each label ran.
     :ivar overloads: requests that came when every slot was taken.
     """
@@ -43,6 +44,7 @@
     service_time: int = millis(10)
     shed: bool = False
     stalled: bool = False
+    deaf: bool = False
     unreachable: bool = False
     broken: bool = False
     status: int = 200
@@ -70,12 +72,16 @@
         run.running = True
         self.started.append(self.clock.now)
         self.ran[run.label] = self.ran.get(run.label, 0) + 1
-        self.clock.call_later(run.remaining, lambda: self.cancel(run))
+        self.clock.call_later(run.remaining, lambda: self._stop(run))
         if not self.stalled:
             self.clock.call_later(self.service_time, lambda: self._finish(run))
 
     def cancel(self, run: FakeRun) -> None:
-        """Give a request up: its connection was closed or its deadline passed."""
+        """Give a request up: its connection was closed."""
+        if not self.deaf:
+            self._stop(run)
+
+    def _stop(self, run: FakeRun) -> None:
         if run.running:
             run.running = False
             self.running -= 1
@@ -83,7 +89,7 @@
     def _finish(self, run: FakeRun) -> None:
         if not run.running:
             return
-        self.cancel(run)
+        self._stop(run)
         if self.broken:
             run.report(AttemptOutcome.BROKEN)
             return
--- /dev/null
+++ b/tests/core/steering/test_slot_mutations.py
@@ -0,0 +1,129 @@
+"""Each safety rule of slots is broken once on purpose; the check must go red."""
+
+from __future__ import annotations
+
+import random
+from unittest import TestCase
+from unittest.mock import patch
+
+from almondgap_core.events import CallerGone
+from almondgap_core.limits.leases import HeldLease
+from almondgap_core.steering import ejection, ownership, seeking, slots, targets
+from almondgap_core.steering.results import SlotResult
+from almondgap_core.units import millis, seconds
+from almondgap_testkit.pressure import Pressure, build_world, count_overloads
+
+
+def run_takeover() -> int:
+    """Let a host that comes back take partitions over whose slots are in use."""
+    world = build_world(domains=1, hosts=2, slots=1, targets_per_domain=4)
+    for target in world.targets.values():
+        target.service_time = millis(1_900)
+    world.crash("h1")
+    load = Pressure(world, random.Random(2))
+    load.add("c0", 40, seconds(40), ["h0", "h1"])
+    world.run(seconds(20))
+    world.start("h1")
+    load.finish()
+    return count_overloads(world)
+
+
+def run_paused_owner() -> int:
+    """Pause an owner until another host has taken its partitions."""
+    world = build_world(domains=1, hosts=2, slots=1, targets_per_domain=4)
+    for target in world.targets.values():
+        target.service_time = millis(400)
+    load = Pressure(world, random.Random(3))
+    load.add("c0", 20, seconds(30), ["h0", "h1"])
+    world.run(seconds(2))
+    world.pause("h0")
+    world.run(seconds(16))
+    world.resume("h0")
+    load.finish()
+    return count_overloads(world)
+
+
+def run_repeats() -> int:
+    """Let every message arrive twice, and late."""
+    world = build_world(domains=2, hosts=4, slots=1)
+    for target in world.targets.values():
+        target.service_time = millis(400)
+    world.network.repeat = 1.0
+    world.network.jitter = millis(20)
+    load = Pressure(world, random.Random(4))
+    load.add("c0", 20, seconds(5), list(world.hosts))
+    load.finish()
+    return count_overloads(world)
+
+
+def run_impatient_callers() -> int:
+    """Let callers leave while a target does not notice closed connections."""
+    world = build_world(domains=1, hosts=1, slots=1)
+    target = world.targets["t0-0-0"]
+    target.service_time = millis(1_500)
+    target.deaf = True
+    req = world.call("h0", "s0", "c0")
+    world.run(millis(100))
+    world.feed("h0", CallerGone(world.read_clock("h0"), req))
+    world.call("h0", "s0", "c0")
+    world.run(seconds(3))
+    return count_overloads(world)
+
+
+SCENARIOS = (run_takeover, run_paused_owner, run_repeats, run_impatient_callers)
+
+
+class Forgetful(dict):
+    """A dictionary that never says that it holds a key."""
+
+    def __contains__(self, key: object) -> bool:
+        return False
+
+
+def find_held_for_ever(state, partition, now):
+    """Return the lease on a partition that this host ever held."""
+    lease = state.limits.leases.own.get(partition)
+    return None if lease is None else HeldLease(partition, lease.epoch)
+
+
+class MutationTests(TestCase):
+    def test_rules_hold_unbroken(self):
+        counts = {scenario.__name__: scenario() for scenario in SCENARIOS}
+        self.assertEqual(set(counts.values()), {0}, counts)
+
+    def test_new_holder_that_does_not_wait_is_caught(self):
+        def never(state, target, now):
+            return False
+
+        with (
+            patch.object(ejection, "is_blocked", never),
+            patch.object(targets, "is_blocked", never),
+        ):
+            self.assertGreater(run_takeover(), 0)
+
+    def test_owner_that_does_not_check_its_lease_is_caught(self):
+        with patch.object(ownership, "find_held", find_held_for_ever):
+            self.assertGreater(run_paused_owner(), 0)
+
+    def test_slot_freed_before_the_deadline_is_caught(self):
+        with patch.object(slots, "stretch", lambda duration: millis(10)):
+            self.assertGreater(run_repeats(), 0)
+
+    def test_slot_freed_by_a_cancelled_attempt_is_caught(self):
+        with patch.object(SlotResult, "frees_slot", True):
+            self.assertGreater(run_impatient_callers(), 0)
+
+    def test_repeated_grant_that_gives_the_slot_back_is_caught(self):
+        handle = seeking.handle_grant
+
+        def forget(state, host, message, now):
+            state.steering.spent = Forgetful(state.steering.spent)
+            handle(state, host, message, now)
+
+        handlers = seeking.MESSAGE_HANDLERS | {seeking.SlotGrant: forget}
+        with patch.dict("almondgap_core.reducer.MESSAGE_HANDLERS", handlers):
+            self.assertGreater(run_repeats(), 0)
+
+    def test_owner_that_counts_no_slots_is_caught(self):
+        with patch.object(targets, "compute_room", lambda *_: 1_000):
+            self.assertGreater(run_repeats(), 0)
