--- a/packages/almondgap-core/almondgap_core/reducer.py
+++ b/packages/almondgap-core/almondgap_core/reducer.py
@@ -14,7 +14,14 @@
 from almondgap_core.requests import flow
 from almondgap_core.settings import rollout
 from almondgap_core.state import HostState
-from almondgap_core.steering import ownership, ramp, seeking, slots
+from almondgap_core.steering import (
+    clientmap_rollout,
+    lookup,
+    ownership,
+    ramp,
+    seeking,
+    slots,
+)
 
 EventHandler = Callable[[HostState, Event], None]
 MessageHandler = Callable[[HostState, str, Message, int], None]
@@ -29,6 +36,8 @@
     handover,
     minting,
     asking,
+    clientmap_rollout,
+    lookup,
     admission,
     ownership,
     ramp,
--- a/packages/almondgap-core/almondgap_core/steering/ejection.py
+++ b/packages/almondgap-core/almondgap_core/steering/ejection.py
@@ -12,7 +12,7 @@
 from almondgap_core.state import HostState
 from almondgap_core.steering.ownership import is_blocked, list_owned_targets
 from almondgap_core.steering.results import SlotResult
-from almondgap_core.steering.state import TargetView
+from almondgap_core.steering.slotbook import TargetView
 from almondgap_core.units import MICROS_PER_SECOND
 
 #: Failures in a row that eject a target.
@@ -39,7 +39,7 @@
 
 def find_view(state: HostState, target: str) -> TargetView:
     """Return what this host sees of a target."""
-    return state.steering.views.setdefault(target, TargetView())
+    return state.slots.views.setdefault(target, TargetView())
 
 
 def compute_room(state: HostState, target: Target, now: int) -> int:
@@ -85,7 +85,7 @@
     if failed:
         _eject(state, target, view, now)
         return
-    views = state.steering.views
+    views = state.slots.views
     views[target.name] = TargetView(latency=view.latency, warm_since=now)
     fields = (("target", target.name),)
     state.perform(LogEntry("target back", fields))
--- a/packages/almondgap-core/almondgap_core/steering/loads.py
+++ b/packages/almondgap-core/almondgap_core/steering/loads.py
@@ -6,8 +6,8 @@
 from almondgap_core.state import HostState
 from almondgap_core.steering.ejection import count_open_slots
 from almondgap_core.steering.ownership import list_owned_targets
+from almondgap_core.steering.slotbook import ServiceTally
 from almondgap_core.steering.slots import count_waiting
-from almondgap_core.steering.state import ServiceTally
 from almondgap_core.units import MICROS_PER_SECOND
 
 
@@ -28,9 +28,9 @@
 
 def _measure_load(state: HostState, service: str, now: int) -> ServiceLoad:
     targets = list_owned_targets(state, service, now)
-    used = sum(state.steering.slots_used.get(t.name, 0) for t in targets)
-    tally = state.steering.tallies.get(service, ServiceTally())
-    state.steering.tallies[service] = ServiceTally(since=now)
+    used = sum(state.slots.slots_used.get(t.name, 0) for t in targets)
+    tally = state.slots.tallies.get(service, ServiceTally())
+    state.slots.tallies[service] = ServiceTally(since=now)
     elapsed = max(now - tally.since, 1)
     return ServiceLoad(
         compute_key(service),
--- a/packages/almondgap-core/almondgap_core/steering/ownership.py
+++ b/packages/almondgap-core/almondgap_core/steering/ownership.py
@@ -8,7 +8,7 @@
 from almondgap_core.limits.partitions import Partition, find_partition
 from almondgap_core.settings.inventory import Target
 from almondgap_core.state import HostState
-from almondgap_core.steering.state import Takeover
+from almondgap_core.steering.slotbook import Takeover
 from almondgap_core.units import MICROS_PER_MILLI, MICROS_PER_SECOND
 
 #: What an owner waits beyond a deadline: delay on the way and slow clocks.
@@ -42,34 +42,34 @@
     held = find_held(state, partition, now)
     if held is None:
         return False
-    known = state.steering.takeovers.get(partition)
+    known = state.slots.takeovers.get(partition)
     if known is None or known.epoch != held.epoch:
-        clean = known is None or (partition, held.epoch) in state.steering.clean
+        clean = known is None or (partition, held.epoch) in state.slots.clean
         _note_takeover(state, partition, held.epoch, clean, now)
     return True
 
 
 def is_blocked(state: HostState, target: Target, now: int) -> bool:
     """Return whether slots of a target may still be in use for an earlier holder."""
-    steering = state.steering
+    book = state.slots
     partition = find_partition(state.inventory, target.failure_domain, target.name)
     deadline = state.inventory.services[target.service].deadline
-    known = steering.takeovers.get(partition)
+    known = book.takeovers.get(partition)
     begin = None if known is None else known.blocked_from
     if begin is not None and now < begin + stretch(deadline):
         return True
-    placed = steering.placed.setdefault(target.name, partition)
+    placed = book.placed.setdefault(target.name, partition)
     if placed != partition:
-        steering.placed[target.name] = partition
-        steering.moved[target.name] = now
-    moved = steering.moved.get(target.name)
+        book.placed[target.name] = partition
+        book.moved[target.name] = now
+    moved = book.moved.get(target.name)
     return moved is not None and now < moved + ROLLOUT_US + stretch(deadline)
 
 
 def handle_lease_taken(state: HostState, event: LeaseTaken) -> None:
     """Note whether slots of earlier holders may still be in use."""
     if event.clean:
-        state.steering.clean.add((event.partition, event.epoch))
+        state.slots.clean.add((event.partition, event.epoch))
     _note_takeover(state, event.partition, event.epoch, event.clean, event.now)
 
 
@@ -77,7 +77,7 @@
     state: HostState, partition: Partition, epoch: int, clean: bool, now: int
 ) -> None:
     begin = None if clean else now
-    state.steering.takeovers[partition] = Takeover(epoch, begin)
+    state.slots.takeovers[partition] = Takeover(epoch, begin)
 
 
 EVENT_HANDLERS: dict[type[Event], object] = {LeaseTaken: handle_lease_taken}
--- a/packages/almondgap-core/almondgap_core/steering/ramp.py
+++ b/packages/almondgap-core/almondgap_core/steering/ramp.py
@@ -4,7 +4,7 @@
 
 from almondgap_core.events import Event, Tick
 from almondgap_core.state import HostState
-from almondgap_core.steering.state import TargetView
+from almondgap_core.steering.slotbook import TargetView
 
 
 def handle_tick(state: HostState, event: Tick) -> None:
@@ -12,19 +12,19 @@
 
     The first version that a host has says nothing of which targets are new.
     """
-    steering = state.steering
-    if state.inventory is None or steering.version == state.settings.version:
+    book = state.slots
+    if state.inventory is None or book.version == state.settings.version:
         return
-    first = steering.version == 0
-    steering.version = state.settings.version
+    first = book.version == 0
+    book.version = state.settings.version
     targets = state.inventory.targets.values()
     active = frozenset(target.name for target in targets if not target.draining)
-    for name in steering.known - active:
-        steering.views.pop(name, None)
+    for name in book.known - active:
+        book.views.pop(name, None)
     if not first:
-        for name in active - steering.known:
-            steering.views[name] = TargetView(warm_since=event.now)
-    steering.known = active
+        for name in active - book.known:
+            book.views[name] = TargetView(warm_since=event.now)
+    book.known = active
 
 
 EVENT_HANDLERS: dict[type[Event], object] = {Tick: handle_tick}
--- a/packages/almondgap-core/almondgap_core/steering/seeking.py
+++ b/packages/almondgap-core/almondgap_core/steering/seeking.py
@@ -21,8 +21,8 @@
 from almondgap_core.steering.owners import make_plan
 from almondgap_core.steering.ownership import list_owned_targets
 from almondgap_core.steering.results import SlotResult, judge
+from almondgap_core.steering.slotbook import Ask, HeldSlot
 from almondgap_core.steering.slots import send
-from almondgap_core.steering.state import Ask, HeldSlot
 from almondgap_core.units import MICROS_PER_MILLI
 
 #: Wait for an owner's answer, beside the time in its queue.
@@ -50,10 +50,10 @@
 
     A repeat of a grant that was used once is no reason to give anything back.
     """
-    steering = state.steering
-    if message.number in steering.spent:
+    book = state.slots
+    if message.number in book.spent:
         return
-    ask = steering.asks.get(message.number)
+    ask = book.asks.get(message.number)
     if ask is None or ask.owner != host:
         _give_back(state, host, message.number, now)
         return
@@ -63,14 +63,14 @@
         _give_back(state, host, message.number, now)
         _advance(state, ask, now)
         return
-    steering.spent[message.number] = ask.deadline
-    steering.held[ask.req_id, message.target] = HeldSlot(host, message.number)
+    book.spent[message.number] = ask.deadline
+    book.held[ask.req_id, message.target] = HeldSlot(host, message.number)
     state.emit(SlotGranted(now, ask.req_id, message.target))
 
 
 def handle_denial(state: HostState, host: str, message: SlotDenial, now: int) -> None:
     """Ask the next owner."""
-    ask = state.steering.asks.get(message.number)
+    ask = state.slots.asks.get(message.number)
     if ask is not None and ask.owner == host:
         _forget(state, ask)
         _advance(state, ask, now)
@@ -78,7 +78,7 @@
 
 def handle_slot_released(state: HostState, event: SlotReleased) -> None:
     """Tell the owner how the slot was used."""
-    held = state.steering.held.pop((event.req_id, event.target), None)
+    held = state.slots.held.pop((event.req_id, event.target), None)
     if held is not None:
         result = judge(event.outcome, event.status, event.shed)
         answer = SlotReturn(held.number, int(result))
@@ -87,21 +87,21 @@
 
 def handle_slot_withdrawn(state: HostState, event: SlotWithdrawn) -> None:
     """Stop looking for a slot."""
-    number = state.steering.ask_numbers.get(event.req_id)
+    number = state.slots.ask_numbers.get(event.req_id)
     if number is not None:
-        _abandon(state, state.steering.asks[number], event.now)
+        _abandon(state, state.slots.asks[number], event.now)
 
 
 def handle_tick(state: HostState, event: Tick) -> None:
     """Go on where an owner does not answer; give up at the deadline."""
-    steering = state.steering
-    late = [ask for ask in steering.asks.values() if event.now >= ask.timeout]
+    book = state.slots
+    late = [ask for ask in book.asks.values() if event.now >= ask.timeout]
     for ask in late:
         _abandon(state, ask, event.now)
         _advance(state, ask, event.now)
-    over = [n for n, deadline in steering.spent.items() if event.now >= deadline]
+    over = [n for n, deadline in book.spent.items() if event.now >= deadline]
     for number in over:
-        del steering.spent[number]
+        del book.spent[number]
 
 
 def _advance(state: HostState, ask: Ask, now: int) -> None:
@@ -115,17 +115,17 @@
 
 
 def _send_ask(state: HostState, ask: Ask, owner: str, waits: bool, now: int) -> None:
-    steering = state.steering
+    book = state.slots
     remaining = ask.deadline - now
     wait = max(remaining - ANSWER_US, 0) if waits else 0
     if waits and owner == state.host:
         wait = remaining
-    steering.asked += 1
-    ask.number = state.incarnation * NUMBERS_PER_RUN + steering.asked
+    book.asked += 1
+    ask.number = state.incarnation * NUMBERS_PER_RUN + book.asked
     ask.owner = owner
     ask.timeout = min(now + wait + ANSWER_US, ask.deadline)
-    steering.asks[ask.number] = ask
-    steering.ask_numbers[ask.req_id] = ask.number
+    book.asks[ask.number] = ask
+    book.ask_numbers[ask.req_id] = ask.number
     message = SlotAsk(
         ask.number, ask.service, ask.account, remaining, wait, ask.exclude
     )
@@ -138,8 +138,8 @@
 
 
 def _forget(state: HostState, ask: Ask) -> None:
-    del state.steering.asks[ask.number]
-    state.steering.ask_numbers.pop(ask.req_id, None)
+    del state.slots.asks[ask.number]
+    state.slots.ask_numbers.pop(ask.req_id, None)
 
 
 def _give_back(state: HostState, host: str, number: int, now: int) -> None:
--- a/packages/almondgap-core/almondgap_core/steering/slots.py
+++ b/packages/almondgap-core/almondgap_core/steering/slots.py
@@ -17,7 +17,7 @@
 from almondgap_core.steering.ownership import list_owned_targets, stretch
 from almondgap_core.steering.queue import AskKey, FairQueue, Waiter
 from almondgap_core.steering.results import SlotResult
-from almondgap_core.steering.state import Grant, ServiceTally
+from almondgap_core.steering.slotbook import Grant, ServiceTally
 from almondgap_core.steering.targets import choose_target
 from almondgap_core.units import MICROS_PER_MILLI
 
@@ -41,9 +41,9 @@
 
     An ask that came before gets the same answer; none jumps the queue.
     """
-    steering = state.steering
+    book = state.slots
     key = (host, message.number)
-    grant = steering.grants.get(key)
+    grant = book.grants.get(key)
     if grant is not None:
         send(state, host, SlotGrant(message.number, grant.target), now)
         return
@@ -73,9 +73,9 @@
 def handle_return(state: HostState, host: str, message: SlotReturn, now: int) -> None:
     """Free a slot, unless the target may still be at work, or a place in the queue."""
     key = (host, message.number)
-    grant = state.steering.grants.get(key)
+    grant = state.slots.grants.get(key)
     if grant is None:
-        for queue in state.steering.queues.values():
+        for queue in state.slots.queues.values():
             queue.remove(key)
         return
     if grant.returned:
@@ -90,20 +90,20 @@
 
 def handle_tick(state: HostState, event: Tick) -> None:
     """Free slots whose time is over and drop asks that cannot make it."""
-    steering = state.steering
-    if event.now < steering.next_sweep:
+    book = state.slots
+    if event.now < book.next_sweep:
         return
-    steering.next_sweep = event.now + SWEEP_US
-    over = [key for key, grant in steering.grants.items() if event.now >= grant.ends]
+    book.next_sweep = event.now + SWEEP_US
+    over = [key for key, grant in book.grants.items() if event.now >= grant.ends]
     for key in over:
         _free(state, key, event.now)
-    for service, queue in list(steering.queues.items()):
+    for service, queue in list(book.queues.items()):
         _sweep(state, service, queue, event.now)
 
 
 def count_waiting(state: HostState, service: str) -> int:
     """Return how many asks for a service wait at this host."""
-    return len(state.steering.queues.get(service, ()))
+    return len(state.slots.queues.get(service, ()))
 
 
 def _sweep(state: HostState, service: str, queue: FairQueue, now: int) -> None:
@@ -111,7 +111,7 @@
         for waiter in list(queue.keys.values()):
             queue.remove(waiter.key)
             _deny(state, waiter.key, DenialReason.NOT_OWNER, now)
-        del state.steering.queues[service]
+        del state.slots.queues[service]
         return
     for waiter in queue.remove_late(now, _measure_held(state, service)):
         _deny(state, waiter.key, DenialReason.TOO_LATE, now)
@@ -128,7 +128,7 @@
     if not owned:
         return None
     limit = WAITERS_PER_SLOT * sum(target.slots for target in owned)
-    queue = state.steering.queues.setdefault(service, FairQueue(limit))
+    queue = state.slots.queues.setdefault(service, FairQueue(limit))
     queue.limit = limit
     return queue
 
@@ -152,7 +152,7 @@
 
 def _measure_held(state: HostState, service: str) -> int:
     """Return the mean time that a slot of a service is held, 0 if unknown."""
-    views = state.steering.views
+    views = state.slots.views
     names = state.inventory.services[service].targets
     known = [views[name].latency for name in names if name in views]
     known = [latency for latency in known if latency]
@@ -169,7 +169,7 @@
 
 def _serve(state: HostState, service: str, now: int) -> None:
     """Hand free slots out to those that wait."""
-    queue = state.steering.queues.get(service)
+    queue = state.slots.queues.get(service)
     if not queue or _find_queue(state, service, now) is None:
         return
 
@@ -181,7 +181,7 @@
         target = choose_target(state, service, waiter.exclude, now)
         return None if target is None else target.name
 
-    used = state.steering.account_slots.setdefault(service, {})
+    used = state.slots.account_slots.setdefault(service, {})
     while True:
         served = queue.serve(used, choose)
         if served is None:
@@ -190,12 +190,12 @@
 
 
 def _grant(state: HostState, waiter: Waiter, target: str, now: int) -> None:
-    steering = state.steering
-    steering.grants[waiter.key] = Grant(
+    book = state.slots
+    book.grants[waiter.key] = Grant(
         target, waiter.service, waiter.account, now, waiter.ends
     )
-    steering.slots_used[target] = steering.slots_used.get(target, 0) + 1
-    used = steering.account_slots.setdefault(waiter.service, {})
+    book.slots_used[target] = book.slots_used.get(target, 0) + 1
+    used = book.account_slots.setdefault(waiter.service, {})
     used[waiter.account] = used.get(waiter.account, 0) + 1
     _find_tally(state, waiter.service).granted += 1
     host, number = waiter.key
@@ -203,10 +203,10 @@
 
 
 def _free(state: HostState, key: AskKey, now: int) -> None:
-    steering = state.steering
-    grant = steering.grants.pop(key)
-    steering.slots_used[grant.target] -= 1
-    used = steering.account_slots[grant.service]
+    book = state.slots
+    grant = book.grants.pop(key)
+    book.slots_used[grant.target] -= 1
+    used = book.account_slots[grant.service]
     used[grant.account] -= 1
     if not used[grant.account]:
         del used[grant.account]
@@ -223,7 +223,7 @@
 
 
 def _find_tally(state: HostState, service: str) -> ServiceTally:
-    return state.steering.tallies.setdefault(service, ServiceTally())
+    return state.slots.tallies.setdefault(service, ServiceTally())
 
 
 def _read_result(value: int) -> SlotResult:
--- a/packages/almondgap-core/almondgap_core/steering/targets.py
+++ b/packages/almondgap-core/almondgap_core/steering/targets.py
@@ -33,7 +33,7 @@
     state: HostState, service: str, exclude: tuple[str, ...], now: int
 ) -> list[Target]:
     """Return the owned targets that may take one more request."""
-    used = state.steering.slots_used
+    used = state.slots.slots_used
     return [
         target
         for target in list_owned_targets(state, service, now)
@@ -45,7 +45,7 @@
 
 def _weigh(state: HostState, target: Target, now: int) -> float:
     view = find_view(state, target.name)
-    used = state.steering.slots_used.get(target.name, 0) + 1
+    used = state.slots.slots_used.get(target.name, 0) + 1
     penalty = 1 + ERROR_PENALTY * (view.errors + view.sheds)
     load = used / compute_room(state, target, now)
     return load * max(view.latency, 1.0) * penalty
--- a/packages/almondgap-testkit/almondgap_testkit/fakes/network.py
+++ b/packages/almondgap-testkit/almondgap_testkit/fakes/network.py
@@ -23,7 +23,8 @@
     """Carries messages between places; a place is a failure domain or the platform.
 
     :ivar regions: region of each place.
-    :ivar loss: share of messages that are lost.
+    :ivar loss: share of messages between hosts that are lost.
+    :ivar store_loss: share of calls and answers of the platform that are lost.
     :ivar repeat: share of messages that arrive twice.
     :ivar jitter: most that is added to a message's delay, in microseconds.
     :ivar slow: added to every delay between two places, in microseconds.
@@ -33,6 +34,7 @@
     rng: random.Random
     regions: Mapping[str, str]
     loss: float = 0.0
+    store_loss: float = 0.0
     repeat: float = 0.0
     jitter: int = millis(0.5)
     slow: dict[frozenset[str], int] = Factory(dict)
@@ -70,7 +72,8 @@
     def carry(self, one: str, other: str, deliver: Callable[[], None]) -> None:
         """Deliver a message unless it is lost or cut on the way."""
         self.messages += 1
-        if self.is_cut(one, other) or self.rng.random() < self.loss:
+        loss = self.store_loss if PLATFORM in (one, other) else self.loss
+        if self.is_cut(one, other) or self.rng.random() < loss:
             return
         copies = 2 if self.rng.random() < self.repeat else 1
         for _ in range(copies):
--- a/packages/almondgap-testkit/almondgap_testkit/fakes/payments.py
+++ b/packages/almondgap-testkit/almondgap_testkit/fakes/payments.py
@@ -9,7 +9,7 @@
 from attrs import evolve
 
 from almondgap_core.limits.partitions import list_partitions
-from almondgap_core.operations.minting import mint_prefix
+from almondgap_core.operations.minting import mint_prefixes
 from almondgap_core.units import seconds
 from almondgap_core.verdict import Verdict
 from almondgap_testkit.builders import build_document
@@ -73,7 +73,9 @@
 
     def look_up(self, host: str) -> str:
         """Return the operation prefix that a host hands out."""
-        return mint_prefix(self.world.hosts[host].state, self.world.read_clock(host))
+        state = self.world.hosts[host].state
+        prefixes = mint_prefixes(state, self.world.read_clock(host))
+        return self.world.rng.choice(prefixes) if prefixes else ""
 
     def pay(self, host: str, key: str, label: str, digest: bytes = b"d") -> str:
         """Send an operation and return the request's identifier."""
--- a/tests/core/steering/test_slot_mutations.py
+++ b/tests/core/steering/test_slot_mutations.py
@@ -117,7 +117,7 @@
         handle = seeking.handle_grant
 
         def forget(state, host, message, now):
-            state.steering.spent = Forgetful(state.steering.spent)
+            state.slots.spent = Forgetful(state.slots.spent)
             handle(state, host, message, now)
 
         handlers = seeking.MESSAGE_HANDLERS | {seeking.SlotGrant: forget}
--- a/tests/core/steering/test_slots_in_world.py
+++ b/tests/core/steering/test_slots_in_world.py
@@ -132,9 +132,9 @@
         self.assertEqual(count_overloads(world), 0)
         for host in world.hosts.values():
             if host.state is not None:
-                used = host.state.steering.slots_used
+                used = host.state.slots.slots_used
                 self.assertEqual(set(used.values()) - {0}, set())
-            for queue in host.state.steering.queues.values() if host.state else ():
+            for queue in host.state.slots.queues.values() if host.state else ():
                 self.assertLessEqual(len(queue), queue.limit)
         if "crash" not in faults:
             self.assertEqual(list_unanswered(world), [])
