Let retries be a tenth of requests

Cause: three attempts for each failing request triple the load on targets that fail already.

Ruled out: charging attempts that reached no target (they load nobody); a budget for accounts alone (many accounts together still storm one service).

Change: each request earns a tenth of a retry for its client account at its service, and for the service; both must have one left. Where targets of this failure domain are held is worked out once for each configuration version.

--- a/packages/almondgap-core/almondgap_core/requests/flow.py
+++ b/packages/almondgap-core/almondgap_core/requests/flow.py
@@ -68,6 +68,7 @@
         return
     record = _open_record(event, service, account.name if account else OPEN_ACCOUNT)
     state.requests.open[event.req_id] = record
+    state.requests.retries.earn(record.account, record.service)
     if record.operation:
         _ask_operation(state, record, event)
     else:
@@ -152,7 +153,7 @@
     shed = event.status == STATUS_SHED and service and service.shed_is_not_run
     record.status = event.status
     record.shed = bool(shed)
-    if shed and _may_try_again(record, event.now):
+    if shed and _may_pay_retry(state, record, event.now):
         state.perform(CancelAttempt(record.req_id, record.attempt))
         _release(state, record, AttemptOutcome.CANCELLED, event.now)
         _ask_slot(state, record, event.now)
@@ -175,7 +176,7 @@
         return
     not_run = event.outcome is AttemptOutcome.NOT_SENT
     record.exposed = record.exposed or not not_run
-    if (not_run or record.idempotent) and _may_try_again(record, event.now):
+    if _may_repeat(state, record, not_run, event.now):
         _ask_slot(state, record, event.now)
         return
     _refuse(state, record, _describe_failure(record, event.outcome), event.now)
@@ -273,6 +274,21 @@
     return record.attempt < MAX_ATTEMPTS and now < record.deadline
 
 
+def _may_repeat(
+    state: HostState, record: RequestRecord, not_run: bool, now: int
+) -> bool:
+    """Return whether a failed attempt may be made again; one not sent costs nothing."""
+    if not_run:
+        return _may_try_again(record, now)
+    return record.idempotent and _may_pay_retry(state, record, now)
+
+
+def _may_pay_retry(state: HostState, record: RequestRecord, now: int) -> bool:
+    if not _may_try_again(record, now):
+        return False
+    return state.requests.retries.take(record.account, record.service)
+
+
 def _release(state: HostState, record: RequestRecord, outcome, now: int) -> None:
     record.tried = (*record.tried, record.target)
     released = SlotReleased(
--- a/packages/almondgap-core/almondgap_core/requests/state.py
+++ b/packages/almondgap-core/almondgap_core/requests/state.py
@@ -4,6 +4,7 @@
 
 from attrs import Factory, define
 
+from almondgap_core.requests.budget import RetryBudgets
 from almondgap_core.requests.record import RequestRecord
 
 
@@ -12,6 +13,8 @@
     """Requests that are not over.
 
     :ivar open: by request identifier.
+    :ivar retries: what may still be tried again.
     """
 
     open: dict[str, RequestRecord] = Factory(dict)
+    retries: RetryBudgets = Factory(RetryBudgets)
--- a/packages/almondgap-core/almondgap_core/steering/ownership.py
+++ b/packages/almondgap-core/almondgap_core/steering/ownership.py
@@ -6,9 +6,9 @@
 from almondgap_core.limits.events import LeaseTaken
 from almondgap_core.limits.leases import find_held
 from almondgap_core.limits.partitions import Partition, find_partition
-from almondgap_core.settings.inventory import Target
+from almondgap_core.settings.inventory import Inventory, Target
 from almondgap_core.state import HostState
-from almondgap_core.steering.slotbook import Takeover
+from almondgap_core.steering.slotbook import Layout, Takeover
 from almondgap_core.units import MICROS_PER_MILLI, MICROS_PER_SECOND
 
 #: What an owner waits beyond a deadline: delay on the way and slow clocks.
@@ -28,17 +28,39 @@
 
 def list_owned_targets(state: HostState, service: str, now: int) -> list[Target]:
     """Return the targets of ``service`` whose slots this host hands out."""
-    owned = []
-    for name in state.inventory.services[service].targets:
-        target = state.inventory.targets[name]
-        if not target.draining and is_owned(state, target, now):
-            owned.append(target)
+    owned: list[Target] = []
+    for partition, targets in _find_layout(state).get(service, ()):
+        if _holds(state, partition, now):
+            owned.extend(targets)
     return owned
 
 
-def is_owned(state: HostState, target: Target, now: int) -> bool:
-    """Return whether this host holds the partition of a target at ``now``."""
-    partition = find_partition(state.inventory, target.failure_domain, target.name)
+def _find_layout(state: HostState) -> Layout:
+    """Return where the targets of this failure domain are held, made once a version.
+
+    Targets that leave are left out.
+    """
+    book = state.slots
+    if book.layout_from is not state.inventory:
+        book.layout = _make_layout(state.inventory, state.failure_domain)
+        book.layout_from = state.inventory
+    return book.layout
+
+
+def _make_layout(inventory: Inventory, failure_domain: str) -> Layout:
+    layout: dict[str, dict[Partition, list[Target]]] = {}
+    for target in inventory.targets.values():
+        if target.failure_domain == failure_domain and not target.draining:
+            partition = find_partition(inventory, failure_domain, target.name)
+            held = layout.setdefault(target.service, {})
+            held.setdefault(partition, []).append(target)
+    return {
+        service: tuple((part, tuple(targets)) for part, targets in held.items())
+        for service, held in layout.items()
+    }
+
+
+def _holds(state: HostState, partition: Partition, now: int) -> bool:
     held = find_held(state, partition, now)
     if held is None:
         return False
--- a/packages/almondgap-core/almondgap_core/steering/slotbook.py
+++ b/packages/almondgap-core/almondgap_core/steering/slotbook.py
@@ -3,12 +3,17 @@
 from __future__ import annotations
 
 from collections import deque
+from collections.abc import Mapping
 
 from attrs import Factory, define
 
 from almondgap_core.limits.partitions import Partition
+from almondgap_core.settings.inventory import Inventory, Target
 from almondgap_core.steering.queue import AskKey, FairQueue
 
+#: Targets by the partition that holds them, by service.
+Layout = Mapping[str, tuple[tuple[Partition, tuple[Target, ...]], ...]]
+
 
 @define
 class Grant:
@@ -121,6 +126,7 @@
     :ivar ask_numbers: number of the ask of each request that looks for a slot.
     :ivar held: slots that requests of this host use, by request and target.
     :ivar spent: numbers under which a slot was ever used, until their deadline.
+    :ivar layout: targets of this failure domain, made from ``layout_from``.
     :ivar known: targets of the configuration version ``version``.
     """
 
@@ -138,6 +144,8 @@
     ask_numbers: dict[str, int] = Factory(dict)
     held: dict[tuple[str, str], HeldSlot] = Factory(dict)
     spent: dict[int, int] = Factory(dict)
+    layout: Layout = Factory(dict)
+    layout_from: Inventory | None = None
     known: frozenset[str] = frozenset()
     version: int = 0
     asked: int = 0
