Eject failing targets, back off from shedding ones, ramp cold ones

Two owners of one failure domain ejected all four targets between them, each by a report a second old. A target that sheds got nearly every request, since it looks idle, and used up the retry budget: 14 of 45 requests served. One that had been slow was never tried again. A target back from a drain took its full load for up to 50 ms before the ramp began.

Ruled out: fixed parts of the ejections for each owner (an owner with one target could never eject it); counting sheds as failures (a full target is no bad one).

The ramp begins with the version.

--- a/packages/almondgap-core/almondgap_core/steering/ramp.py
+++ b/packages/almondgap-core/almondgap_core/steering/ramp.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-from almondgap_core.events import Event, Tick
+from almondgap_core.events import BodyFetched, Event, Tick
 from almondgap_core.state import HostState
 from almondgap_core.steering.slotbook import TargetView
 
 
-def handle_tick(state: HostState, event: Tick) -> None:
+def note_version(state: HostState, event: BodyFetched | Tick) -> None:
     """Mark targets as cold that a new configuration version brought.
 
     The first version that a host has says nothing of which targets are new.
@@ -27,4 +27,7 @@
     book.known = active
 
 
-EVENT_HANDLERS: dict[type[Event], object] = {Tick: handle_tick}
+EVENT_HANDLERS: dict[type[Event], object] = {
+    BodyFetched: note_version,
+    Tick: note_version,
+}
--- a/packages/almondgap-core/almondgap_core/steering/slotbook.py
+++ b/packages/almondgap-core/almondgap_core/steering/slotbook.py
@@ -38,21 +38,29 @@
 
     :ivar latency: moving average of the time that a slot is held, in microseconds.
     :ivar errors: moving average of failures, 0 to 1.
-    :ivar sheds: moving average of shed answers, 0 to 1.
+    :ivar sheds: shed answers without another result between them.
+    :ivar shed_until: time until which it takes nothing new since it sheds.
+    :ivar heard: time of the latest result, in microseconds.
     :ivar in_row: failures without a success between them.
     :ivar results: results since the target came or came back.
     :ivar warm_since: when its ramp began, or None if it is not cold.
     :ivar ejected_until: end of its ejection, or None if it takes work.
+    :ivar intent: since when it is to be ejected, or None.
+    :ivar intent_after: time before which no new intent begins.
     :ivar ejections: ejections without a success between them.
     """
 
     latency: float = 0.0
     errors: float = 0.0
-    sheds: float = 0.0
+    sheds: int = 0
+    shed_until: int = 0
+    heard: int = 0
     in_row: int = 0
     results: int = 0
     warm_since: int | None = None
     ejected_until: int | None = None
+    intent: int | None = None
+    intent_after: int = 0
     ejections: int = 0
 
 
--- a/packages/almondgap-core/almondgap_core/steering/targets.py
+++ b/packages/almondgap-core/almondgap_core/steering/targets.py
@@ -4,12 +4,12 @@
 
 from almondgap_core.settings.inventory import Target
 from almondgap_core.state import HostState
-from almondgap_core.steering.ejection import compute_room, find_view
+from almondgap_core.steering.ejection import compute_room, find_view, measure_trust
 from almondgap_core.steering.ownership import is_blocked, list_owned_targets
 
 __all__ = ["choose_target", "list_owned_targets"]
 
-#: How much a target that only fails or sheds is worse than one that never does.
+#: How much a target that only fails is worse than one that never does.
 ERROR_PENALTY = 10
 
 
@@ -46,6 +46,7 @@
 def _weigh(state: HostState, target: Target, now: int) -> float:
     view = find_view(state, target.name)
     used = state.slots.slots_used.get(target.name, 0) + 1
-    penalty = 1 + ERROR_PENALTY * (view.errors + view.sheds)
     load = used / compute_room(state, target, now)
-    return load * max(view.latency, 1.0) * penalty
+    trust = measure_trust(view, now)
+    penalty = 1 + ERROR_PENALTY * view.errors * trust
+    return load * max(view.latency * trust, 1.0) * penalty
