--- a/packages/almondgap-core/almondgap_core/reducer.py
+++ b/packages/almondgap-core/almondgap_core/reducer.py
@@ -22,7 +22,15 @@
 from almondgap_core.requests import flow
 from almondgap_core.settings import rollout
 from almondgap_core.state import HostState
-from almondgap_core.steering import clientmap_rollout, lookup, plan_rollout, targets
+from almondgap_core.steering import (
+    clientmap_rollout,
+    lookup,
+    ownership,
+    plan_rollout,
+    ramp,
+    seeking,
+    slots,
+)
 
 EventHandler = Callable[[HostState, Event], None]
 MessageHandler = Callable[[HostState, str, Message, int], None]
@@ -44,7 +52,10 @@
     plan_rollout,
     lookup,
     admission,
-    targets,
+    ownership,
+    ramp,
+    slots,
+    seeking,
     flow,
     lifecycle,
 )
@@ -63,6 +74,8 @@
     asking,
     handover,
     minting,
+    slots,
+    seeking,
 )
 
 
--- a/packages/almondgap-core/almondgap_core/steering/lookup.py
+++ b/packages/almondgap-core/almondgap_core/steering/lookup.py
@@ -10,7 +10,7 @@
 from almondgap_core.events import HostEntry, Tick
 from almondgap_core.exceptions import LookupRefused
 from almondgap_core.limits.division import rank
-from almondgap_core.membership.heartbeats import FAR_SUSPICION_US, is_alive
+from almondgap_core.membership.suspicion import FAR_SUSPICION_US, is_alive
 from almondgap_core.operations.minting import mint_prefixes
 from almondgap_core.state import HostState
 from almondgap_core.steering.answer import (
--- a/packages/almondgap-core/almondgap_core/steering/state.py
+++ b/packages/almondgap-core/almondgap_core/steering/state.py
@@ -36,7 +36,6 @@
 class SteeringState:
     """Targets and places at one host.
 
-    :ivar slots_used: requests that this host runs at each target.
     :ivar client_map: the map in force, or None, and ``client_map_ref`` its version.
     :ivar prepared: answers by service and site, made from ``prepared_from``.
     :ivar counts: look-ups by flow.
@@ -44,7 +43,6 @@
     :ivar counted_since: time since which ``counts`` count, 0 before the first turn.
     """
 
-    slots_used: dict[str, int] = Factory(dict)
     client_map: ClientMap | None = None
     client_map_ref: ClientMapRef = ClientMapRef()
     map_loading: MapLoading = Factory(MapLoading)
