--- a/packages/almondgap-daemon/almondgap_daemon/callers.py
+++ b/packages/almondgap-daemon/almondgap_daemon/callers.py
@@ -71,7 +71,10 @@
     @app.route("/v1/lookup")
     def lookup(self, request):
         """Name the entry hosts for a service."""
-        return self.lookups.answer(request)
+        body = self.lookups.answer(request)
+        if body:
+            request.setHeader("Content-Length", str(len(body)))
+        return body
 
     @app.route("/v1/call/<service>/", branch=True)
     def call(self, request, service: str):
