--- a/tests/core/limits/test_leases.py
+++ b/tests/core/limits/test_leases.py
@@ -87,6 +87,8 @@
         world = self.build_world()
         name = list_holders(world, "a")[0][0][0]
         world.drain(name)
+        world.run(seconds(world.inventory.lookup_ttl))
+        self.assert_one_holder(world)
         world.run(seconds(5))
         self.assertIsNone(world.hosts[name].state)
         self.assert_one_holder(world)
