--- /dev/null
+++ b/packages/almondgap-cli/almondgap_cli/commands/map_diff.py
@@ -0,0 +1,51 @@
+"""``almondgap map diff``: what changed between two client maps, as a delta."""
+
+from __future__ import annotations
+
+import sys
+from pathlib import Path
+from typing import Annotated
+
+import cappa
+from attrs import define
+
+from almondgap_cli.clientmaps import (
+    MapFile,
+    OutputFile,
+    StorePlatform,
+    keep_body,
+    read_map,
+)
+from almondgap_cli.running import run_command
+from almondgap_core.steering.clientmap_codec import encode_delta
+from almondgap_core.steering.clientmap_delta import compute_delta
+
+
+@cappa.command(name="diff", help="Make the delta between two client maps.")
+@define
+class MapDiff:
+    """Arguments of the command."""
+
+    old: MapFile
+    new: Annotated[Path, cappa.Arg(help="Built client map to arrive at.")]
+    output: OutputFile = None
+    parent: Annotated[
+        str | None,
+        cappa.Arg(
+            long="--parent",
+            help="Object that the delta follows, if it is not the old map's body.",
+        ),
+    ] = None
+    platform: StorePlatform = None
+
+    def __call__(self) -> None:
+        """Print the object name to be added to the inventory's ``deltas``."""
+        run_command(self._compare)
+
+    async def _compare(self) -> None:
+        name, old = read_map(self.old)
+        _, new = read_map(self.new)
+        delta = compute_delta(old, new, self.parent or name)
+        for family, changes in delta.changes.items():
+            print(f"{family.name}: {len(changes)} ranges changed", file=sys.stderr)
+        print(await keep_body(encode_delta(delta), self.output, self.platform))
--- a/packages/almondgap-cli/almondgap_cli/main.py
+++ b/packages/almondgap-cli/almondgap_cli/main.py
@@ -8,6 +8,7 @@
 from almondgap_cli.commands.apply import Apply
 from almondgap_cli.commands.check import Check
 from almondgap_cli.commands.lookup import Lookup
+from almondgap_cli.commands.map import Map
 from almondgap_cli.commands.replay import Replay
 from almondgap_cli.commands.status import Status
 
@@ -17,7 +18,7 @@
 class Almondgap:
     """The command and its subcommands."""
 
-    command: cappa.Subcommands[Apply | Check | Lookup | Replay | Status]
+    command: cappa.Subcommands[Apply | Check | Lookup | Map | Replay | Status]
 
 
 def main() -> None:
