--- a/packages/almondgap-core/almondgap_core/steering/plan.py
+++ b/packages/almondgap-core/almondgap_core/steering/plan.py
@@ -67,12 +67,18 @@
     :ivar host: the deciding host, one of ``hosts``, over which limits are divided.
     :ivar demand: requests per second that follow this host's look-ups, in thousandths.
     :ivar loads: by region; a region that was never heard of is missing.
+    :ivar place: index of the host in ``hosts``.
     """
 
     host: str
     hosts: tuple[str, ...]
     demand: Mapping[FlowKey, int]
     loads: Mapping[str, RegionLoad]
+    place: int = field(init=False)
+
+    @place.default
+    def _find_place(self) -> int:
+        return self.hosts.index(self.host)
 
 
 class Standing(Enum):
--- a/packages/almondgap-core/almondgap_core/steering/plan_budgets.py
+++ b/packages/almondgap-core/almondgap_core/steering/plan_budgets.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
+from zlib import crc32
 
 from attrs import Factory, define
 
-from almondgap_core.limits.division import divide
 from almondgap_core.settings.inventory import Inventory
 from almondgap_core.steering.plan import (
     REFUSED,
@@ -156,8 +156,16 @@
 
 
 def find_part(inputs: PlanInputs, total: int, seed: str) -> int:
-    """Return this host's part of a limit; all hosts' parts sum to it exactly."""
-    return divide(max(total, 0), inputs.hosts, seed)[inputs.host]
+    """Return this host's part of a limit; all hosts' parts sum to it exactly.
+
+    The remainder goes to hosts that follow each other from a place that the seed gives.
+    Ranking the hosts for each of some hundred limits, as shares of accounts do, would
+    pause a fleet's hosts.
+    """
+    count = len(inputs.hosts)
+    quotient, remainder = divmod(max(total, 0), count)
+    place = (inputs.place - crc32(seed.encode())) % count
+    return quotient + (place < remainder)
 
 
 def convert_to_bits(inventory: Inventory, service: str, rate: int) -> int:
