Refuse what fits nowhere fairly over client accounts

Cause: the share that a plan refuses fell on all callers alike, so that an account that sends several times its rate took the room of the others. Ruled out: refusing at the targets; by then the request has crossed the links. Change: while a flow is refused in part, the room is divided among client accounts by weighted max-min fairness, from what each asked for in the last two seconds. The callers' site writes no access log, whose lines were made and thrown away.

--- a/packages/almondgap-core/almondgap_core/steering/answer.py
+++ b/packages/almondgap-core/almondgap_core/steering/answer.py
@@ -4,6 +4,8 @@
 
 from attrs import define, frozen
 
+from almondgap_core.steering.refusal import RefusalBook
+
 
 @frozen
 class EntryHost:
@@ -49,11 +51,11 @@
 
     :ivar body: the answer as JSON.
     :ivar refused_share: share of look-ups to refuse, out of ``SHARE_UNIT``.
-    :ivar credit: what is due to be refused so far.
+    :ivar refusals: which of them.
     """
 
     answer: LookupAnswer
     body: bytes
     count: LookupCount
     refused_share: int
-    credit: int = 0
+    refusals: RefusalBook
--- a/packages/almondgap-core/almondgap_core/steering/lookup.py
+++ b/packages/almondgap-core/almondgap_core/steering/lookup.py
@@ -3,15 +3,19 @@
 from __future__ import annotations
 
 import json
+from collections.abc import Callable
 from zlib import crc32
 
 from attrs import Factory, asdict, define
 
 from almondgap_core.events import HostEntry, Tick
 from almondgap_core.exceptions import LookupRefused
+from almondgap_core.keys.authorization import OPEN_ACCOUNT, authorize
+from almondgap_core.keys.credential import Credential
 from almondgap_core.limits.division import rank
 from almondgap_core.membership.heartbeats import FAR_SUSPICION_US, is_alive
 from almondgap_core.operations.minting import mint_prefixes
+from almondgap_core.settings.inventory import Account
 from almondgap_core.state import HostState
 from almondgap_core.steering.answer import (
     EntryHost,
@@ -25,6 +29,7 @@
     rank_regions,
 )
 from almondgap_core.steering.plan import REFUSED, SHARE_UNIT, FlowKey
+from almondgap_core.steering.refusal import RefusalBook
 from almondgap_core.units import MICROS_PER_SECOND, millis
 
 #: Most entry hosts that an answer names.
@@ -47,15 +52,27 @@
     return _find_prepared(state, service, address, now).answer
 
 
-def look_up_body(state: HostState, service: str, address: str, now: int) -> bytes:
+def look_up_body(
+    state: HostState,
+    service: str,
+    address: str,
+    now: int,
+    read_credential: Callable[[], Credential | None] = lambda: None,
+) -> bytes:
     """Return the JSON body of a look-up's answer, and count the look-up.
 
+    :param read_credential: gives the caller's credential; called only if some callers
+        have to be refused, which is then divided fairly over client accounts.
     :raises LookupRefused: the plan refuses this one, as not run.
     """
     prepared = _find_prepared(state, service, address, now)
     prepared.count.asked += 1
-    if prepared.refused_share and _is_refused(prepared):
-        raise LookupRefused
+    if prepared.refused_share:
+        account = _find_account(state, service, read_credential())
+        weights = {name: a.weight for name, a in state.inventory.accounts.items()}
+        share = prepared.refused_share
+        if prepared.refusals.is_refused(account, share, weights, now):
+            raise LookupRefused
     return prepared.body
 
 
@@ -99,13 +116,10 @@
         return None
 
 
-def _is_refused(prepared: PreparedLookup) -> bool:
-    """Refuse the plan's share of look-ups, spread evenly over them."""
-    prepared.credit += prepared.refused_share
-    if prepared.credit < SHARE_UNIT:
-        return False
-    prepared.credit -= SHARE_UNIT
-    return True
+def _find_account(state: HostState, service: str, credential: Credential | None) -> str:
+    inventory = state.inventory
+    found = authorize(inventory, inventory.services[service], credential)
+    return found.name if isinstance(found, Account) else OPEN_ACCOUNT
 
 
 def _prepare(
@@ -127,7 +141,8 @@
     body = json.dumps(asdict(answer)).encode() + b"\n"
     key = FlowKey(service, origin)
     count = state.steering.counts.setdefault(key, LookupCount())
-    return PreparedLookup(answer, body, count, refused)
+    refusals = state.steering.refusals.setdefault(key, RefusalBook())
+    return PreparedLookup(answer, body, count, refused, refusals)
 
 
 def _choose_prefix(state: HostState, seed: str, now: int) -> str:
--- a/packages/almondgap-core/almondgap_core/steering/state.py
+++ b/packages/almondgap-core/almondgap_core/steering/state.py
@@ -10,6 +10,7 @@
 from almondgap_core.steering.clientmap_codec import DecodeWork
 from almondgap_core.steering.clientmap_delta import DeltaWork
 from almondgap_core.steering.plan import FlowKey, RegionPlan
+from almondgap_core.steering.refusal import RefusalBook
 
 
 @define
@@ -39,7 +40,7 @@
     :ivar slots_used: requests that this host runs at each target.
     :ivar client_map: the map in force, or None, and ``client_map_ref`` its version.
     :ivar prepared: answers by service and site, made from ``prepared_from``.
-    :ivar counts: look-ups by flow.
+    :ivar counts: look-ups by flow, and ``refusals`` which of them are refused.
     :ivar plan: the region plan in force, or None before the first decision.
     :ivar counted_since: time since which ``counts`` count, 0 before the first turn.
     """
@@ -52,6 +53,7 @@
     prepared_from: tuple = ()
     next_refresh: int = 0
     counts: dict[FlowKey, LookupCount] = Factory(dict)
+    refusals: dict[FlowKey, RefusalBook] = Factory(dict)
     plan: RegionPlan | None = None
     next_plan: int = 0
     counted_since: int = 0
--- a/packages/almondgap-daemon/almondgap_daemon/callers.py
+++ b/packages/almondgap-daemon/almondgap_daemon/callers.py
@@ -45,6 +45,13 @@
             self.content.write(data)
 
 
+class CallerSite(Site):
+    """A site without an access log; metrics count requests."""
+
+    def log(self, request) -> None:
+        """Write nothing: the line would be made for each request and thrown away."""
+
+
 class CallerApi:
     """Routes for callers."""
 
@@ -59,14 +66,14 @@
         pool.retryAutomatically = False
         self.http = Agent(node.reactor, connectTimeout=CONNECT_TIMEOUT_S, pool=pool)
         self._count = 0
-        self.lookups = LookupResource(node, self._next_id)
+        self.lookups = LookupResource(node, self.pepper, self._next_id)
 
     def make_site(self) -> Site:
         """Return the site to listen with."""
         limit = self.cfg.body_limit
         factory = type("LimitedRequest", (CallerRequest,), {"body_limit": limit})
         resource = CallerResource(self.lookups, self.app.resource())
-        return Site(resource, requestFactory=factory)
+        return CallerSite(resource, requestFactory=factory)
 
     @app.route("/v1/lookup")
     def lookup(self, request):
--- a/packages/almondgap-daemon/almondgap_daemon/lookups.py
+++ b/packages/almondgap-daemon/almondgap_daemon/lookups.py
@@ -3,15 +3,18 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from functools import partial
 
 from twisted.web.resource import IResource, Resource
 from zope.interface import implementer
 
 from almondgap_core.exceptions import LookupRefused
+from almondgap_core.keys.credential import Credential
 from almondgap_core.steering.lookup import look_up_body
 from almondgap_core.units import MICROS_PER_SECOND
 from almondgap_core.verdict import Reason, Refusal, Verdict
 from almondgap_daemon.exchange import write_refusal
+from almondgap_daemon.headers import KEY_HEADER
 
 LOOKUP_PATH = b"/v1/lookup"
 
@@ -24,10 +27,11 @@
 
     isLeaf = True
 
-    def __init__(self, node, make_id: Callable[[], str]) -> None:
-        """Keep the host and what makes identifiers of requests."""
+    def __init__(self, node, pepper: bytes, make_id: Callable[[], str]) -> None:
+        """Keep the host, and what makes identifiers of requests."""
         super().__init__()
         self.node = node
+        self.pepper = pepper
         self.make_id = make_id
 
     def render(self, request) -> bytes:
@@ -50,7 +54,9 @@
             block = _read_argument(request, b"client")
             address = block.partition("/")[0] or address
         try:
-            body = look_up_body(state, service, address, self.node.now())
+            now = self.node.now()
+            read = partial(self._read_credential, request)
+            body = look_up_body(state, service, address, now, read)
         except LookupRefused:
             detail = "No region has room for the request."
             reason = Reason.NO_CAPACITY
@@ -58,6 +64,10 @@
         request.responseHeaders.setRawHeaders(b"content-type", [b"application/json"])
         return body
 
+    def _read_credential(self, request) -> Credential | None:
+        key = request.getHeader(KEY_HEADER)
+        return None if key is None else Credential.from_key(key, self.pepper)
+
     def _refuse(
         self,
         request,
--- a/packages/almondgap-testkit/almondgap_testkit/bench/measure_regions.py
+++ b/packages/almondgap-testkit/almondgap_testkit/bench/measure_regions.py
@@ -29,11 +29,11 @@
 from almondgap_testkit.bench.figure import Figure
 from almondgap_testkit.builders import build_inventory
 from almondgap_testkit.curve import CurveIndex, find_exactly
+from almondgap_testkit.steering_checks import find_faults
 from almondgap_testkit.steering_fleet import (
     SERVICE_MS,
     SteeringFleet,
     build_regions,
-    find_faults,
 )
 
 CAPACITIES = {"north": 1000, "south": 1000, "west": 1000, "east": 1000}
--- a/tests/core/steering/test_plan.py
+++ b/tests/core/steering/test_plan.py
@@ -7,13 +7,12 @@
 
 from almondgap_core.steering import plan_budgets, plan_decision
 from almondgap_core.steering.plan import REFUSED, SHARE_UNIT, FlowKey
+from almondgap_testkit.steering_checks import find_faults, find_overfilled
 from almondgap_testkit.steering_fleet import (
     SERVICE,
     SteeringFleet,
     build_regions,
     claim_idle,
-    find_faults,
-    find_overfilled,
 )
 
 CAPACITIES = {"north": 1000, "south": 1000, "west": 1000}
