--- a/packages/almondgap-core/almondgap_core/limits/granting.py
+++ b/packages/almondgap-core/almondgap_core/limits/granting.py
@@ -101,7 +101,6 @@
     pool.take(tokens)
     spare = _pick_spare(pool, ask.spare)
     pool.take(spare)
-    state.limits.ideals[name].take(now, spare)
     if key is not None:
         pool.reserve(key, tokens + spare, now + CREDIT_HELD_US)
     return Decision(tokens + spare, 0, inside)
@@ -128,9 +127,12 @@
     entries = zip(message.names, message.numbers, message.returned, strict=False)
     for name, number, returned in entries:
         pool = state.limits.pools.get(name)
-        if pool is not None:
-            pool.advance(now)
-            pool.settle((host, number), returned)
+        if pool is None or (host, number) not in pool.reservations:
+            continue
+        pool.advance(now)
+        unasked = pool.settle((host, number), returned) - 1
+        if unasked > 0 and name in state.limits.ideals:
+            state.limits.ideals[name].take(now, unasked)
 
 
 def _find_own_end(state: HostState, name: str, now: int) -> int | None:
--- a/packages/almondgap-core/almondgap_core/limits/pool.py
+++ b/packages/almondgap-core/almondgap_core/limits/pool.py
@@ -106,13 +106,19 @@
         self.reservations[key] = Reservation(tokens, until)
         self.reserved += tokens
 
-    def settle(self, key: tuple[str, int], returned: int = 0) -> None:
-        """Note that another host spent its tokens but for those it returns."""
+    def settle(self, key: tuple[str, int], returned: int = 0) -> int:
+        """Note that another host spent its tokens but for those it returns.
+
+        :return: tokens that were spent.
+        """
         kept = self.reservations.pop(key, None)
-        if kept is not None:
-            self.reserved -= kept.tokens
-            self.level += min(returned, kept.tokens) * TOKEN
-            self._clip()
+        if kept is None:
+            return 0
+        returned = max(0, min(returned, kept.tokens))
+        self.reserved -= kept.tokens
+        self.level += returned * TOKEN
+        self._clip()
+        return kept.tokens - returned
 
     def compute_wait(self, tokens: int = 1) -> int | None:
         """Return the microseconds until ``tokens`` are there, None if never."""
