--- a/packages/almondgap-core/almondgap_core/limits/homes.py
+++ b/packages/almondgap-core/almondgap_core/limits/homes.py
@@ -5,8 +5,8 @@
 import hashlib
 from functools import lru_cache
 
-from almondgap_core.limits.alive import SILENCE_US
 from almondgap_core.limits.division import rank
+from almondgap_core.membership.heartbeats import is_alive
 from almondgap_core.state import HostState
 from almondgap_core.units import millis, seconds
 
@@ -76,4 +76,4 @@
             return False
     if peer is None:
         return True
-    return now - peer.heard <= SILENCE_US and not peer.stopping
+    return is_alive(state, name, now) and not peer.stopping
--- a/packages/almondgap-core/almondgap_core/limits/renewal.py
+++ b/packages/almondgap-core/almondgap_core/limits/renewal.py
@@ -48,7 +48,7 @@
 COURTESY_US = seconds(4)
 
 #: Least time between two partitions that a host gives to others.
-MOVE_INTERVAL_US = seconds(10)
+MOVE_INTERVAL_US = seconds(5)
 
 #: Longest time without the store after the lease: with witnesses, and alone.
 HOLD_MAX_US = seconds(600)
