--- a/packages/almondgap-core/almondgap_core/reducer.py
+++ b/packages/almondgap-core/almondgap_core/reducer.py
@@ -15,7 +15,7 @@
 from almondgap_core.requests import flow
 from almondgap_core.settings import neighbours, rollout
 from almondgap_core.state import HostState
-from almondgap_core.steering import clientmap_rollout, lookup, targets
+from almondgap_core.steering import clientmap_rollout, lookup, plan_rollout, targets
 
 EventHandler = Callable[[HostState, Event], None]
 MessageHandler = Callable[[HostState, str, Message, int], None]
@@ -26,13 +26,14 @@
     rollout,
     neighbours,
     trust,
+    clientmap_rollout,
     renewal,
     notices,
     books,
     handover,
     minting,
     asking,
-    clientmap_rollout,
+    plan_rollout,
     lookup,
     admission,
     targets,
