--- a/packages/almondgap-core/almondgap_core/requests/record.py
+++ b/packages/almondgap-core/almondgap_core/requests/record.py
@@ -6,10 +6,14 @@
 
 from attrs import define
 
+from almondgap_core.operations.record import KeptAnswer
+from almondgap_core.verdict import Verdict
+
 
 class Stage(Enum):
     """How far a request has come."""
 
+    OPERATION = "operation"
     RATE = "rate"
     SLOT = "slot"
     RUNNING = "running"
@@ -27,6 +31,9 @@
     :ivar tried: targets that failed.
     :ivar exposed: whether an earlier attempt may have run.
     :ivar status: status of the answer that is being relayed.
+    :ivar verdict: verdict of the answer that is being relayed.
+    :ivar operation: the caller's ``Idempotency-Key``, empty without one.
+    :ivar answer: the operation's answer, if it came whole and is short.
     """
 
     req_id: str
@@ -41,3 +48,6 @@
     tried: tuple[str, ...] = ()
     exposed: bool = False
     status: int = 0
+    verdict: Verdict = Verdict.RAN
+    operation: str = ""
+    answer: KeptAnswer | None = None
