--- a/packages/almondgap-daemon/almondgap_daemon/callers.py
+++ b/packages/almondgap-daemon/almondgap_daemon/callers.py
@@ -8,7 +8,6 @@
 from attrs import asdict
 from klein import Klein
 from twisted.web.client import Agent, HTTPConnectionPool
-from twisted.web.server import Site
 from werkzeug.exceptions import HTTPException, MethodNotAllowed, NotFound
 
 from almondgap_core.events import RequestArrived
@@ -18,7 +17,7 @@
 from almondgap_core.verdict import Reason, Refusal, Verdict
 from almondgap_daemon.exchange import Exchange
 from almondgap_daemon.headers import KEY_HEADER, OPERATION_HEADER
-from almondgap_daemon.requests import BodyMemory, make_caller_site, write_refusal
+from almondgap_daemon.requests import BodyMemory, CallerSite, write_refusal
 
 #: Longest time that a caller can ask a request to take, in seconds.
 MAX_CALL_S = 600
@@ -47,10 +46,10 @@
         self.http = Agent(node.reactor, connectTimeout=CONNECT_TIMEOUT_S, pool=pool)
         self._count = 0
 
-    def make_site(self) -> Site:
+    def make_site(self) -> CallerSite:
         """Return the site to listen with."""
         memory = BodyMemory(self.cfg.body_limit, self.cfg.body_memory)
-        return make_caller_site(self.app.resource(), memory)
+        return CallerSite(self.app.resource(), memory)
 
     @app.route("/v1/lookup", methods=["GET", "HEAD"])
     def lookup(self, request):
--- a/packages/almondgap-daemon/almondgap_daemon/requests.py
+++ b/packages/almondgap-daemon/almondgap_daemon/requests.py
@@ -9,6 +9,7 @@
 
 import structlog
 from attrs import define
+from twisted.internet.defer import Deferred
 from twisted.python.failure import Failure
 from twisted.web.http import HTTPChannel
 from twisted.web.server import Request, Site
@@ -57,6 +58,23 @@
 class CallerChannel(HTTPChannel):
     """A caller's connection; broken HTTP is refused with a verdict."""
 
+    def connectionMade(self) -> None:
+        """Let the site know of the connection."""
+        super().connectionMade()
+        self.site.channels.add(self)
+
+    def connectionLost(self, reason) -> None:
+        """Let the site know that the connection is gone."""
+        super().connectionLost(reason)
+        self.site.forget(self)
+
+    def checkPersistence(self, request, version) -> bool:
+        """Keep no connection open for further requests while the host stops."""
+        if not self.site.stopping:
+            return super().checkPersistence(request, version)
+        request.responseHeaders.setRawHeaders("Connection", ["close"])
+        return False
+
     def refuse(self, refusal: Refusal) -> None:
         """Answer outside of any request, and close the connection."""
         body = dump_refusal(refusal, "")
@@ -166,12 +184,43 @@
         self._held = 0
 
 
-def make_caller_site(resource, memory: BodyMemory) -> Site:
-    """Return a site whose requests are bounded and always answered with a verdict."""
-    factory = type("BoundedRequest", (CallerRequest,), {"memory": memory})
-    site = Site(resource, requestFactory=factory, parsePOSTFormSubmission=False)
-    site.protocol = CallerChannel
-    return site
+class CallerSite(Site):
+    """Callers' connections: bounded in memory, closed in an orderly way.
+
+    :ivar stopping: whether answers tell callers to close their connections.
+    """
+
+    protocol = CallerChannel
+
+    def __init__(self, resource, memory: BodyMemory) -> None:
+        factory = type("BoundedRequest", (CallerRequest,), {"memory": memory})
+        super().__init__(
+            resource, requestFactory=factory, parsePOSTFormSubmission=False
+        )
+        self.channels: set[CallerChannel] = set()
+        self.stopping = False
+        self._emptied: Deferred | None = None
+
+    def close_channels(self) -> Deferred:
+        """Close all connections once what was written has left.
+
+        :return: fires when no connection is left.
+        """
+        self._emptied = Deferred()
+        for channel in list(self.channels):
+            channel.loseConnection()
+        self._report_empty()
+        return self._emptied
+
+    def forget(self, channel: CallerChannel) -> None:
+        """Note that a connection is gone."""
+        self.channels.discard(channel)
+        self._report_empty()
+
+    def _report_empty(self) -> None:
+        if self._emptied is not None and not self.channels:
+            emptied, self._emptied = self._emptied, None
+            emptied.callback(None)
 
 
 def mark(request, verdict: Verdict, req_id: str) -> None:
--- a/packages/almondgap-testkit/almondgap_testkit/fakes/world.py
+++ b/packages/almondgap-testkit/almondgap_testkit/fakes/world.py
@@ -169,6 +169,14 @@
             self.runs[name].append((self.clock.now, "end"))
         self.hosts[name].state = None
 
+    def drain(self, name: str) -> None:
+        """Begin a host's planned stop."""
+
+        def begin() -> None:
+            self.feed(name, events.DrainRequested(self.read_clock(name)))
+
+        self._enter(name, self.hosts[name].state, begin)
+
     def pause(self, name: str) -> None:
         """Stop a host's loop; what arrives waits."""
         self.hosts[name].paused = True
--- a/packages/almondgap-testkit/almondgap_testkit/fleet.py
+++ b/packages/almondgap-testkit/almondgap_testkit/fleet.py
@@ -28,10 +28,9 @@
 FIRST_NET = 20
 LAST_NET = 250
 
-PLATFORM_PORT = 7000
-
-#: Port that a fleet holds as long as it uses a net.
-RESERVED_PORT = 7999
+#: Where the socket listens that guards a net.
+GUARD_PLACE = "255.254"
+GUARD_PORT = 6_999
 
 START_TIMEOUT_S = 20.0
 STOP_TIMEOUT_S = 40.0
@@ -43,14 +42,14 @@
     """Processes of one deployment.
 
     :ivar net: start of every address, so that fleets do not meet.
-    :ivar reserved: what keeps other fleets away from the addresses.
+    :ivar guard: listening socket that keeps the net from other fleets.
     :ivar folder: where the rewritten files and the logs are.
     """
 
     net: str
     folder: Path
     host_names: tuple[str, ...]
-    reserved: list[socket.socket] = Factory(list)
+    guard: socket.socket
     settings: dict[str, dict] = Factory(dict)
     processes: dict[str, subprocess.Popen] = Factory(dict)
 
@@ -63,11 +62,11 @@
         :param example: name of a folder of ``examples``.
         :param hosts: names of the hosts to run, or None for all.
         """
-        net, reserved = _reserve_net()
+        net, guard = _claim_net()
         source = EXAMPLES / example
         files = sorted((source / "hosts").glob("*.json"))
         names = tuple(f.stem for f in files if hosts is None or f.stem in hosts)
-        fleet = cls(net, folder, names, reserved)
+        fleet = cls(net, folder, names, guard)
         folder.mkdir(parents=True, exist_ok=True)
         text = (source / "inventory.json").read_text()
         fleet.inventory_file.write_text(text.replace(EXAMPLE_NET, net))
@@ -86,7 +85,7 @@
     @property
     def platform(self) -> str:
         """Address and port of the platform."""
-        return f"{self.net}0.1:{PLATFORM_PORT}"
+        return f"{self.net}0.1:7000"
 
     @property
     def target_control(self) -> str:
@@ -150,8 +149,7 @@
         """End all processes."""
         for name in list(self.processes):
             self.kill(name)
-        for held in self.reserved:
-            held.close()
+        self.guard.close()
 
     def run_cli(self, *args: str, check: bool = True) -> subprocess.CompletedProcess:
         """Run the operators' command."""
@@ -213,24 +211,20 @@
         }
 
 
-def _reserve_net() -> tuple[str, list[socket.socket]]:
+def _claim_net() -> tuple[str, socket.socket]:
+    """Return a net that no other fleet on this machine uses, and what guards it."""
     span = LAST_NET - FIRST_NET
-    start = os.getpid() * 7
-    for number in range(start, start + span):
-        net = f"127.{FIRST_NET + number % span}."
-        reserved = _reserve(net)
-        if reserved is not None:
-            return net, reserved
-    raise RuntimeError("no free addresses for a fleet")
-
-
-def _reserve(net: str) -> list[socket.socket] | None:
-    """Hold a port of a net, unless another fleet holds it or runs there."""
-    try:
-        with socket.create_server((f"{net}0.1", PLATFORM_PORT)):
-            return [socket.create_server((f"{net}0.1", RESERVED_PORT))]
-    except OSError:
-        return None
+    for offset in range(span):
+        net = f"127.{FIRST_NET + (os.getpid() * 7 + offset) % span}."
+        guard = socket.socket()
+        try:
+            guard.bind((f"{net}{GUARD_PLACE}", GUARD_PORT))
+        except OSError:
+            guard.close()
+            continue
+        guard.listen()
+        return net, guard
+    raise OSError("every net is in use by another fleet")
 
 
 def _join(listener: dict) -> str:
