Serve over TLS, know peers by certificate, and flush answers before leaving

Cause: listeners spoke plain TCP only.

Ruled out: a fixed pause before the end, which is too long for most stops and too short for slow readers; trusting the name in a hello alone; reloading certificates by a signal, which operators of short-lived certificates forget.

Change: listeners take certificates, or say that they are plain; hosts use mutual TLS, the opening side checks the name of the host that it calls, the accepting side checks the name in the hello against the certificate. Files are read again on a new connection when they changed; unusable files leave the earlier ones in force. An automat machine carries the process from serving over draining and flushing to stopped; callers' connections are closed after what was written has left, within 10 s.

Conclusion: a planned stop waits for the bytes, not only for the decisions.

--- /dev/null
+++ b/packages/almondgap-daemon/almondgap_daemon/hostprocess.py
@@ -0,0 +1,95 @@
+"""The life of one process: it listens, serves, drains, flushes and ends."""
+
+from __future__ import annotations
+
+from typing import Protocol
+
+import structlog
+from attrs import define, field
+from automat import TypeMachineBuilder
+from twisted.internet.defer import Deferred, gatherResults, maybeDeferred
+
+from almondgap_daemon.requests import CallerSite
+
+log = structlog.get_logger(__name__)
+
+#: Longest wait for callers to read the last answers, in seconds.
+FLUSH_S = 10.0
+
+
+class Lifecycle(Protocol):
+    """What happens to a process."""
+
+    def stop_requested(self) -> None:
+        """An operator or a signal asks for the planned stop."""
+
+    def work_done(self) -> None:
+        """No request is left, or the deadline of the planned stop has passed."""
+
+    def flushed(self) -> None:
+        """All answers have left, or callers did not read them in time."""
+
+
+@define
+class HostProcess:
+    """What a process has open.
+
+    :ivar ports: listening ports, those of callers first.
+    :ivar on_stop: begins the planned stop at the reducer.
+    :ivar on_end: ends the process.
+    """
+
+    reactor: object
+    callers: CallerSite
+    ports: list
+    on_stop: object
+    on_end: object
+    life: Lifecycle | None = field(default=None)
+
+
+def _build_lifecycle():
+    builder = TypeMachineBuilder(Lifecycle, HostProcess)
+    serving = builder.state("serving")
+    draining = builder.state("draining")
+    flushing = builder.state("flushing")
+    stopped = builder.state("stopped")
+
+    @serving.upon(Lifecycle.stop_requested).to(draining)
+    def begin_drain(life: Lifecycle, process: HostProcess) -> None:
+        process.callers.stopping = True
+        process.on_stop()
+
+    @serving.upon(Lifecycle.work_done).to(flushing)
+    @draining.upon(Lifecycle.work_done).to(flushing)
+    def begin_flush(life: Lifecycle, process: HostProcess) -> None:
+        process.callers.stopping = True
+        timer = process.reactor.callLater(FLUSH_S, life.flushed)
+        closed = _close(process)
+        closed.addBoth(lambda _: _finish(timer, life))
+
+    @flushing.upon(Lifecycle.flushed).to(stopped)
+    def end(life: Lifecycle, process: HostProcess) -> None:
+        process.on_end()
+
+    for state in (draining, flushing, stopped):
+        state.upon(Lifecycle.stop_requested).loop().returns(None)
+    for state in (flushing, stopped):
+        state.upon(Lifecycle.work_done).loop().returns(None)
+    stopped.upon(Lifecycle.flushed).loop().returns(None)
+    return builder.build()
+
+
+def _close(process: HostProcess) -> Deferred:
+    stopped = [maybeDeferred(port.stopListening) for port in process.ports]
+    closed = gatherResults(stopped)
+    closed.addCallback(lambda _: process.callers.close_channels())
+    return closed
+
+
+def _finish(timer, life: Lifecycle) -> None:
+    if timer.active():
+        timer.cancel()
+        life.flushed()
+
+
+make_lifecycle = _build_lifecycle()
--- a/packages/almondgap-daemon/almondgap_daemon/main.py
+++ b/packages/almondgap-daemon/almondgap_daemon/main.py
@@ -18,13 +18,14 @@
 from almondgap_core.state import HostState
 from almondgap_core.units import MICROS_PER_MILLI
 from almondgap_daemon.callers import CallerApi
+from almondgap_daemon.hostprocess import HostProcess, Lifecycle, make_lifecycle
 from almondgap_daemon.logs import configure_logs
 from almondgap_daemon.metrics import Metrics, make_sink
 from almondgap_daemon.node import Node
 from almondgap_daemon.operators import OperatorApi
 from almondgap_daemon.peers import PeerLinks, PeerReceiverFactory
 from almondgap_daemon.platform import open_platform
-from almondgap_daemon.settings import Settings
+from almondgap_daemon.settings import Listener, Settings
 
 log = structlog.get_logger(__name__)
 
@@ -60,7 +61,15 @@
 
 def _listen(node: Node, cfg: Settings) -> None:
     callers = CallerApi(node, cfg).make_site()
-    operators = Site(OperatorApi(node).app.resource())
+    process = HostProcess(
+        reactor,
+        callers,
+        [],
+        on_stop=lambda: _begin_stop(node, cfg, life),
+        on_end=lambda: _end(node),
+    )
+    life = make_lifecycle(process)
+    operators = Site(OperatorApi(node, life.stop_requested).app.resource())
     peers = PeerReceiverFactory(cfg, node.receive)
     for factory, listener in (
         (callers, cfg.callers),
@@ -68,23 +77,28 @@
         (peers, cfg.peers),
     ):
         factory.noisy = False
-        reactor.listenTCP(listener.port, factory, BACKLOG, listener.address)
+        process.ports.append(_open_port(factory, listener))
     for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda *_: reactor.callFromThread(_begin_stop, node, cfg))
-    node.on_stopped = lambda: _end(node)
+        signal.signal(number, lambda *_: reactor.callFromThread(life.stop_requested))
+    node.on_stopped = life.work_done
     node.start()
     log.info("host started", incarnation=node.state.incarnation)
 
 
-def _begin_stop(node: Node, cfg: Settings) -> None:
+def _open_port(factory, listener: Listener):
+    port, address = listener.port, listener.address
+    if listener.files is None:
+        return reactor.listenTCP(port, factory, BACKLOG, address)
+    return reactor.listenSSL(port, factory, listener.files, BACKLOG, address)
+
+
+def _begin_stop(node: Node, cfg: Settings, life: Lifecycle) -> None:
     log.info("planned stop", running=len(node.state.requests.open))
-    reactor.callLater(cfg.stop_deadline, _end, node)
+    reactor.callLater(cfg.stop_deadline, life.work_done)
     node.feed(DrainRequested(node.now()))
 
 
 def _end(node: Node) -> None:
-    if not reactor.running:
-        return
     log.info("host stopped", cut=len(node.state.requests.open))
     node.stop()
     reactor.stop()
--- a/packages/almondgap-daemon/almondgap_daemon/operators.py
+++ b/packages/almondgap-daemon/almondgap_daemon/operators.py
@@ -3,19 +3,19 @@
 from __future__ import annotations
 
 import json
+from collections.abc import Callable
 
 from klein import Klein
 
-from almondgap_core.events import DrainRequested
-
 
 class OperatorApi:
     """Routes for operators."""
 
     app = Klein()
 
-    def __init__(self, node) -> None:
+    def __init__(self, node, request_stop: Callable[[], None]) -> None:
         self.node = node
+        self.request_stop = request_stop
 
     @app.route("/v1/status")
     def status(self, request):
@@ -60,7 +60,7 @@
     @app.route("/v1/drain", methods=["POST"])
     def drain(self, request):
         """Begin the planned stop."""
-        self.node.feed(DrainRequested(self.node.now()))
+        self.request_stop()
         return _answer(request, {"stopping": True})
 
 
--- a/packages/almondgap-daemon/almondgap_daemon/peers.py
+++ b/packages/almondgap-daemon/almondgap_daemon/peers.py
@@ -13,12 +13,17 @@
 import structlog
 from attrs import Factory, define
 from twisted.internet import protocol
-from twisted.internet.endpoints import TCP4ClientEndpoint, connectProtocol
+from twisted.internet.endpoints import (
+    TCP4ClientEndpoint,
+    connectProtocol,
+    wrapClientTLS,
+)
 from twisted.protocols.basic import Int32StringReceiver
 from twisted.protocols.policies import TimeoutMixin
 
 from almondgap_core.exceptions import MessageError
 from almondgap_core.messages import MAX_MESSAGE_BYTES, Hello, Message, decode, encode
+from almondgap_daemon.tls import list_names
 
 log = structlog.get_logger(__name__)
 
@@ -87,9 +92,16 @@
             raise MessageError(f"host of another fleet {message.cluster[:40]!r}")
         if not hmac.compare_digest(expected, message.proof):
             raise MessageError("wrong proof")
+        if self.cfg.peers.files is not None:
+            self._check_certificate(message.host)
         self.peer = message.host
         self.setTimeout(None)
 
+    def _check_certificate(self, host: str) -> None:
+        names = list_names(self.transport.getPeerCertificate())
+        if host not in names:
+            raise MessageError(f"certificate for {names}, not for {host!r}")
+
 
 class PeerReceiverFactory(protocol.ServerFactory):
     """Makes the accepting side of streams."""
@@ -190,15 +202,21 @@
         link.waiting.append(data)
         del link.waiting[:-MAX_WAITING]
         if not link.connecting:
-            self._connect(link)
+            self._connect(host, link)
 
     def close(self) -> None:
         """Close all streams."""
         for host in list(self.links):
             self.drop(host)
 
-    def _connect(self, link: Link) -> None:
+    def _connect(self, host: str, link: Link) -> None:
         link.connecting = True
+        opened = connectProtocol(self._make_endpoint(host, link), PeerSender(link))
+        opened.addCallbacks(
+            lambda sender: self._opened(link, sender), lambda _: self._failed(link)
+        )
+
+    def _make_endpoint(self, host: str, link: Link):
         endpoint = TCP4ClientEndpoint(
             self.reactor,
             link.address,
@@ -206,10 +224,10 @@
             timeout=CONNECT_TIMEOUT_S,
             bindAddress=(self.cfg.peers.address, 0),
         )
-        opened = connectProtocol(endpoint, PeerSender(link))
-        opened.addCallbacks(
-            lambda sender: self._opened(link, sender), lambda _: self._failed(link)
-        )
+        files = self.cfg.peers.files
+        if files is None:
+            return endpoint
+        return wrapClientTLS(files.read().make_client_options(host), endpoint)
 
     def _opened(self, link: Link, sender: PeerSender) -> None:
         link.connecting = False
--- a/packages/almondgap-daemon/almondgap_daemon/settings.py
+++ b/packages/almondgap-daemon/almondgap_daemon/settings.py
@@ -8,7 +8,8 @@
 
 from almondgap_core.exceptions import ConfigurationError
 from almondgap_core.settings.parsing import parse_document
-from almondgap_core.settings.reader import Reader, Report
+from almondgap_core.settings.reader import Fault, Reader, Report
+from almondgap_daemon.tls import CertificateFiles, TlsSettings
 
 DEFAULT_BODY_LIMIT_BYTES = 1_048_576
 DEFAULT_BODY_MEMORY_BYTES = 67_108_864
@@ -18,19 +19,42 @@
 PLATFORM_KINDS = ("http",)
 
 
+@frozen
+class Address:
+    """An address and port to connect to."""
+
+    address: str
+    port: int
+
+    @classmethod
+    def from_reader(cls, reader: Reader) -> Address:
+        """Return the address that an object of the settings describes."""
+        found = cls(reader.address("address"), reader.port("port"))
+        reader.finish()
+        return found
+
+
 @frozen
 class Listener:
-    """An address and port to listen at, or to connect to."""
+    """An address and port to listen at.
+
+    :ivar files: certificates, or None for plain TCP.
+    """
 
     address: str
     port: int
+    files: CertificateFiles | None = None
 
     @classmethod
-    def from_reader(cls, reader: Reader) -> Listener:
-        """Return the listener that an object of the settings describes."""
-        listener = cls(reader.address("address"), reader.port("port"))
+    def from_reader(cls, reader: Reader, mutual: bool = False) -> Listener:
+        """Return the listener that an object of the settings describes.
+
+        :param mutual: whether TLS has to name an authority for the other side.
+        """
+        address, port = reader.address("address"), reader.port("port")
+        files = _read_files(reader, mutual)
         reader.finish()
-        return listener
+        return cls(address, port, files)
 
 
 @frozen
@@ -73,7 +97,7 @@
     platform: PlatformSettings
     pepper: str = field(repr=False)
     peer_secret: str = field(repr=False)
-    statsd: Listener | None
+    statsd: Address | None
     log_level: str
     stop_deadline: int
     body_limit: int
@@ -104,7 +128,7 @@
             failure_domain=top.text("failure_domain"),
             callers=Listener.from_reader(top.section("callers")),
             operators=Listener.from_reader(top.section("operators")),
-            peers=Listener.from_reader(top.section("peers")),
+            peers=Listener.from_reader(top.section("peers"), mutual=True),
             platform=PlatformSettings.from_reader(top.section("platform")),
             pepper=top.text("pepper"),
             peer_secret=top.text("peer_secret"),
@@ -124,6 +148,29 @@
         return settings
 
 
-def _read_statsd(top: Reader) -> Listener | None:
+def _read_statsd(top: Reader) -> Address | None:
     reader = top.section("statsd")
-    return Listener.from_reader(reader) if top.has("statsd") else None
+    return Address.from_reader(reader) if top.has("statsd") else None
+
+
+def _read_files(reader: Reader, mutual: bool) -> CertificateFiles | None:
+    """Return the certificates of a listener; without any it must say ``plain``."""
+    plain = reader.boolean("plain", False)
+    section = reader.section("tls")
+    if not reader.has("tls"):
+        if not plain:
+            expected = 'certificates, or "plain": true'
+            reader.fail(reader.join("tls"), "nothing", expected)
+        return None
+    if plain:
+        reader.fail(reader.join("plain"), True, 'false beside "tls"')
+    faults = len(reader.report.errors)
+    settings = TlsSettings.from_reader(section, mutual)
+    if len(reader.report.errors) > faults:
+        return None
+    try:
+        return CertificateFiles.from_settings(settings)
+    except ConfigurationError as exc:
+        expected = "certificates that can be used"
+        reader.report.errors.append(Fault(reader.join("tls"), str(exc), expected))
+        return None
--- /dev/null
+++ b/packages/almondgap-daemon/almondgap_daemon/tls.py
@@ -0,0 +1,188 @@
+"""TLS: certificates that are read again whenever their files change."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import structlog
+from attrs import define, field, frozen
+from cryptography import x509
+from cryptography.hazmat.primitives import serialization
+from twisted.internet.error import VerifyError
+from twisted.internet.ssl import (
+    Certificate,
+    CertificateOptions,
+    PrivateCertificate,
+    optionsForClientTLS,
+    trustRootFromCertificates,
+)
+
+from almondgap_core.exceptions import ConfigurationError
+from almondgap_core.settings.reader import Reader
+
+log = structlog.get_logger(__name__)
+
+
+@frozen
+class TlsSettings:
+    """Files for one side of TLS, all in PEM form.
+
+    :ivar authority: certificates that the other side's must be signed by, or None if
+        the other side needs none.
+    """
+
+    certificate: Path
+    key: Path
+    authority: Path | None
+
+    @classmethod
+    def from_reader(cls, reader: Reader, mutual: bool) -> TlsSettings:
+        """Return what an object of the settings describes.
+
+        :param mutual: whether an authority has to be given.
+        """
+        certificate = Path(reader.text("certificate"))
+        key = Path(reader.text("key"))
+        if mutual:
+            authority = reader.text("authority")
+        else:
+            authority = reader.text("authority", "")
+        settings = cls(certificate, key, Path(authority) if authority else None)
+        reader.finish()
+        return settings
+
+    @property
+    def files(self) -> tuple[Path, ...]:
+        """All files."""
+        named = (self.certificate, self.key, self.authority)
+        return tuple(path for path in named if path is not None)
+
+
+@frozen
+class Credentials:
+    """What the files held when they were read."""
+
+    own: PrivateCertificate
+    chain: tuple[Certificate, ...]
+    trusted: tuple[Certificate, ...]
+
+    @classmethod
+    def from_files(cls, settings: TlsSettings) -> Credentials:
+        """Return what the files hold.
+
+        :raises ConfigurationError: a file cannot be used; names it.
+        """
+        chain = _read_certificates(settings.certificate)
+        key = _read(settings.key)
+        try:
+            own = PrivateCertificate.loadPEM(chain[0].dumpPEM() + b"\n" + key)
+        except VerifyError as exc:
+            detail = f"does not belong to {settings.certificate}"
+            raise ConfigurationError(f"{settings.key}: {detail}") from exc
+        except Exception as exc:
+            raise ConfigurationError(f"{settings.key}: {exc!r}") from exc
+        trusted: tuple[Certificate, ...] = ()
+        if settings.authority is not None:
+            trusted = _read_certificates(settings.authority)
+        return cls(own, chain[1:], trusted)
+
+    def make_options(self) -> CertificateOptions:
+        """Return the options of the accepting side."""
+        return CertificateOptions(
+            privateKey=self.own.privateKey.original,
+            certificate=self.own.original,
+            extraCertChain=[certificate.original for certificate in self.chain],
+            trustRoot=self._make_trust() if self.trusted else None,
+        )
+
+    def make_client_options(self, name: str):
+        """Return the options for a connection to the host ``name``."""
+        return optionsForClientTLS(name, self._make_trust(), self.own)
+
+    def _make_trust(self):
+        return trustRootFromCertificates(list(self.trusted))
+
+
+@define
+class CertificateFiles:
+    """The credentials in some files, as they stand now.
+
+    Files that cannot be used leave the earlier credentials in force.
+    """
+
+    settings: TlsSettings
+    credentials: Credentials
+    _stamp: tuple[tuple[int, int], ...] = ()
+    _options: CertificateOptions | None = field(default=None)
+
+    @classmethod
+    def from_settings(cls, settings: TlsSettings) -> CertificateFiles:
+        """Return the credentials that the settings name.
+
+        :raises ConfigurationError: a file cannot be used.
+        """
+        files = cls(settings, Credentials.from_files(settings))
+        files._stamp = files._read_stamp()
+        return files
+
+    def read(self) -> Credentials:
+        """Return the credentials, read again if a file changed."""
+        stamp = self._read_stamp()
+        if stamp != self._stamp:
+            self._stamp = stamp
+            self._reload()
+        return self.credentials
+
+    def getContext(self):
+        """Return the context for one accepted connection."""
+        credentials = self.read()
+        if self._options is None:
+            self._options = credentials.make_options()
+        return self._options.getContext()
+
+    def _reload(self) -> None:
+        try:
+            self.credentials = Credentials.from_files(self.settings)
+        except ConfigurationError as exc:
+            log.warning("certificate rejected", error=str(exc))
+            return
+        self._options = None
+        log.info("certificate in force", file=str(self.settings.certificate))
+
+    def _read_stamp(self) -> tuple[tuple[int, int], ...]:
+        stamps = []
+        for path in self.settings.files:
+            try:
+                found = path.stat()
+            except OSError:
+                continue
+            stamps.append((found.st_mtime_ns, found.st_ino))
+        return tuple(stamps)
+
+
+def list_names(certificate) -> tuple[str, ...]:
+    """Return the DNS names that a certificate of the other side is for."""
+    if certificate is None:
+        return ()
+    extensions = certificate.to_cryptography().extensions
+    try:
+        names = extensions.get_extension_for_class(x509.SubjectAlternativeName)
+    except x509.ExtensionNotFound:
+        return ()
+    return tuple(names.value.get_values_for_type(x509.DNSName))
+
+
+def _read_certificates(path: Path) -> tuple[Certificate, ...]:
+    try:
+        found = x509.load_pem_x509_certificates(_read(path))
+    except ValueError as exc:
+        raise ConfigurationError(f"{path}: no certificates: {exc}") from exc
+    encoded = [item.public_bytes(serialization.Encoding.PEM) for item in found]
+    return tuple(Certificate.loadPEM(data) for data in encoded)
+
+
+def _read(path: Path) -> bytes:
+    try:
+        return path.read_bytes()
+    except OSError as exc:
+        raise ConfigurationError(f"{path}: {exc.strerror}") from exc
--- a/tests/daemon/test_peers.py
+++ b/tests/daemon/test_peers.py
@@ -16,6 +16,7 @@
     PeerReceiver,
     compute_proof,
 )
+from almondgap_daemon.settings import Listener
 from almondgap_testkit.fakes.transport import RecordingTransport
 
 SECRET = "peer secret"
@@ -28,7 +29,7 @@
 
     peer_secret: str = SECRET
     cluster: str = CLUSTER
-    peer_tls: None = None
+    peers: Listener = Listener("127.0.0.1", 1)
 
 
 def frame(data: bytes) -> bytes:
