Run one small site without a platform service, and check settings before a start

Cause: a single host needed a platform service beside it; `almondgap check` read one inventory and no settings; its errors on broken text carried what had been read so far; a key itself could stand where its digest belongs, and a service's name could be one that no path can hold.

Ruled out: an embedded database, which a site of one host does not need; a log of changes beside the rows, since a rename of one file is atomic already.

`--platform` takes an address or a folder.

Conclusion: a site of one host runs with a folder.

--- a/packages/almondgap-cli/almondgap_cli/options.py
+++ b/packages/almondgap-cli/almondgap_cli/options.py
@@ -13,7 +13,7 @@
     cappa.Arg(
         long="--platform",
         default=cappa.Env("ALMONDGAP_PLATFORM"),
-        help="Address and port of the platform, such as 127.0.0.1:7000.",
+        help="Address and port of the platform, or the path of its folder.",
     ),
 ]
 
--- a/packages/almondgap-core/almondgap_core/settings/inventory.py
+++ b/packages/almondgap-core/almondgap_core/settings/inventory.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from collections.abc import Mapping
 
 from attrs import frozen
@@ -19,6 +20,10 @@
 DEFAULT_LOOKUP_TTL_S = 5
 DEFAULT_PARTITIONS = 4
 MAX_PARTITIONS = 64
+#: What names of services and client accounts may look like.
+NAME_FORM = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]*")
+DIGEST_FORM = re.compile(r"[0-9a-f]{64}")
+
 MAX_DEADLINE_MS = 600_000
 
 
@@ -188,6 +193,7 @@
 
 
 def _read_service(name, reader, domains, targets) -> Service:
+    _check_name(name, reader)
     deadline = reader.integer(
         "deadline_ms", DEFAULT_DEADLINE_MS, low=1, high=MAX_DEADLINE_MS
     )
@@ -226,6 +232,7 @@
 
 
 def _read_account(name, reader, services, keys) -> Account:
+    _check_name(name, reader)
     account = Account(
         name=name,
         rate=round(reader.number("rate_per_s", low=0.001) * MILLIS_PER_UNIT),
@@ -238,7 +245,7 @@
             reader.fail(reader.join("services"), service, "the name of a service")
     for entry in reader.items("keys"):
         key_id = entry.text("id")
-        digest = entry.text("digest")
+        digest = _read_digest(entry)
         if key_id in keys:
             other = keys[key_id].account
             entry.fail(entry.join("id"), key_id, f"an id not used by account {other}")
@@ -248,6 +255,20 @@
     return account
 
 
+def _read_digest(entry: Reader) -> str:
+    digest = entry.text("digest")
+    if digest and not DIGEST_FORM.fullmatch(digest):
+        entry.fail(entry.join("digest"), "other text", "64 hexadecimal digits")
+    return digest
+
+
+def _check_name(name: str, reader: Reader) -> None:
+    """Report a name that cannot stand in a path or a header."""
+    if not NAME_FORM.fullmatch(name):
+        expected = "a name of letters, digits, '.', '_' and '-'"
+        reader.fail(reader.path, name, expected)
+
+
 def _warn_about(top: Reader, services, accounts) -> None:
     for service in services.values():
         if not service.targets:
--- a/packages/almondgap-core/almondgap_core/settings/parsing.py
+++ b/packages/almondgap-core/almondgap_core/settings/parsing.py
@@ -19,7 +19,8 @@
     try:
         return pyjson5.decode(text)
     except pyjson5.Json5Exception as exc:
-        raise ConfigurationError(f"{source}{_find_place(text, exc)}: {exc}") from exc
+        place = _find_place(text, exc)
+        raise ConfigurationError(f"{source}{place}: {_describe(exc)}") from exc
 
 
 def _find_place(text: str, exc: Exception) -> str:
@@ -34,3 +35,8 @@
     line = before.count("\n") + 1
     column = len(before) - (before.rfind("\n") + 1) + 1
     return f": line {line}, column {column}"
+
+
+def _describe(exc: Exception) -> str:
+    """Return the reader's message without what it had read so far."""
+    return str(exc.args[0]) if exc.args else str(exc)
--- a/packages/almondgap-core/almondgap_core/steering/state.py
+++ b/packages/almondgap-core/almondgap_core/steering/state.py
@@ -41,6 +41,7 @@
     :ivar prepared: answers by service and site, made from ``prepared_from``.
     :ivar counts: look-ups by flow.
     :ivar plan: the region plan in force, or None before the first decision.
+    :ivar counted_since: time since which ``counts`` count, 0 before the first turn.
     """
 
     slots_used: dict[str, int] = Factory(dict)
@@ -53,3 +54,4 @@
     counts: dict[FlowKey, LookupCount] = Factory(dict)
     plan: RegionPlan | None = None
     next_plan: int = 0
+    counted_since: int = 0
--- a/packages/almondgap-daemon/almondgap_daemon/settings.py
+++ b/packages/almondgap-daemon/almondgap_daemon/settings.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import ipaddress
 from pathlib import Path
 
 from attrs import field, frozen
@@ -16,7 +17,13 @@
 DEFAULT_STOP_DEADLINE_S = 30
 DEFAULT_LOG_LEVEL = "info"
 LOG_LEVELS = ("debug", "info", "warning", "error")
-PLATFORM_KINDS = ("http",)
+PLATFORM_KINDS = ("http", "file")
+
+#: Shorter secrets draw a warning, in characters.
+SECRET_LENGTH = 16
+
+#: Shorter planned stops draw a warning, in seconds.
+SHORT_STOP_S = 5
 
 
 @frozen
@@ -62,17 +69,23 @@
     """Where the platform is.
 
     :ivar kind: how to speak to it.
+    :ivar address: where it listens, for kind ``http``.
+    :ivar folder: where it is, for kind ``file``.
     """
 
     kind: str
-    address: str
-    port: int
+    address: str = ""
+    port: int = 0
+    folder: str = ""
 
     @classmethod
     def from_reader(cls, reader: Reader) -> PlatformSettings:
         """Return the platform that an object of the settings describes."""
         kind = reader.text("kind", choices=PLATFORM_KINDS)
-        settings = cls(kind, reader.address("address"), reader.port("port"))
+        if kind == "file":
+            settings = cls(kind, folder=reader.text("folder"))
+        else:
+            settings = cls(kind, reader.address("address"), reader.port("port"))
         reader.finish()
         return settings
 
@@ -107,16 +120,24 @@
     def from_file(cls, path: Path) -> Settings:
         """Return the settings in a file.
 
+        :raises ConfigurationError: lists every fault.
+        """
+        return cls.read(path)[0]
+
+    @classmethod
+    def read(cls, path: Path) -> tuple[Settings, tuple[str, ...]]:
+        """Return the settings in a file, and the warnings about them.
+
         :raises ConfigurationError: lists every fault.
         """
         try:
             text = path.read_text()
-        except OSError as exc:
-            raise ConfigurationError(f"{path}: {exc.strerror}") from exc
+        except (OSError, UnicodeDecodeError) as exc:
+            raise ConfigurationError(f"{path}: {exc}") from exc
         report = Report(str(path))
         settings = cls.from_document(parse_document(text, str(path)), report)
         report.raise_errors()
-        return settings
+        return settings, tuple(report.warnings)
 
     @classmethod
     def from_document(cls, document: object, report: Report) -> Settings:
@@ -145,9 +166,31 @@
             ),
         )
         top.finish()
+        _warn_about(settings, top)
         return settings
 
 
+def _warn_about(settings: Settings, top: Reader) -> None:
+    for name in ("pepper", "peer_secret"):
+        if 0 < len(getattr(settings, name)) < SECRET_LENGTH:
+            top.warn(name, f"is shorter than {SECRET_LENGTH} characters")
+    if settings.pepper and settings.pepper == settings.peer_secret:
+        top.warn("peer_secret", "is the same as the pepper")
+    for name in ("callers", "operators", "peers"):
+        listener = getattr(settings, name)
+        if listener.files is None and not _is_loopback(listener.address):
+            top.warn(name, "is plain on an address that others can reach")
+    if settings.stop_deadline < SHORT_STOP_S:
+        top.warn("stop_deadline_s", "leaves slow requests little time")
+
+
+def _is_loopback(address: str) -> bool:
+    try:
+        return ipaddress.ip_address(address).is_loopback
+    except ValueError:
+        return True
+
+
 def _read_statsd(top: Reader) -> Address | None:
     reader = top.section("statsd")
     return Address.from_reader(reader) if top.has("statsd") else None
--- a/tests/core/operations/test_at_most_once.py
+++ b/tests/core/operations/test_at_most_once.py
@@ -7,10 +7,12 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from almondgap_core.operations.record import KeptAnswer
 from almondgap_core.verdict import Reason, Verdict
 from almondgap_testkit.fakes.payments import HOSTS, Payments
 
 NAMES = sorted(HOSTS)
+FIRST_ANSWER = KeptAnswer(200, "text/plain", b"p 1")
 
 
 class OneHostTests(TestCase):
@@ -22,7 +24,7 @@
             payments.run(1)
             self.assertEqual(payments.count_runs("p"), 1)
             self.assertEqual((again.status, again.verdict), (200, Verdict.RAN))
-            self.assertEqual(again.replayed.body, b"p 1")
+            self.assertEqual(again.replayed, FIRST_ANSWER)
 
     def test_repeat_waits_for_the_first_answer(self):
         with Payments.begin() as payments:
@@ -34,7 +36,7 @@
             payments.run(0.3)
             self.assertEqual(again.status, 0)
             payments.run(1)
-            self.assertEqual(again.replayed.body, b"p 1")
+            self.assertEqual(again.replayed, FIRST_ANSWER)
 
     def test_key_of_another_body_or_account_is_refused(self):
         with Payments.begin() as payments:
@@ -42,8 +44,8 @@
             payments.run(1)
             other = payments.answer(payments.pay("a-2", payments.sent["p"], "q", b"e"))
             payments.run(1)
-            self.assertIs(other.refusal.reason, Reason.OPERATION_MISMATCH)
             self.assertIs(other.verdict, Verdict.NOT_RUN)
+            self.assertIs(other.refusal.reason, Reason.OPERATION_MISMATCH)
             self.assertEqual(payments.count_runs("q"), 0)
 
     def test_key_minted_by_the_caller_alone_never_runs(self):
@@ -51,8 +53,8 @@
             for key in ("mine", "ago.a.0.1.0", "ago.a.x.1.0.p", "ago.a.0.01.0.p"):
                 got = payments.answer(payments.pay("a-1", key, "p"))
                 payments.run(1)
-                self.assertEqual(got.refusal.status, 428)
                 self.assertIs(got.verdict, Verdict.NOT_RUN)
+                self.assertEqual(got.refusal.status, 428)
             self.assertEqual(payments.count_runs("p"), 0)
 
     def test_failure_before_any_target_leaves_the_operation_free(self):
@@ -86,8 +88,8 @@
             used = payments.answer(payments.pay("a-1", f"{prefix}.p", "p"))
             fresh = payments.look_up("a-1")
             payments.run(1)
-            self.assertIs(used.refusal.reason, Reason.OPERATION_EXPIRED)
             self.assertIs(used.verdict, Verdict.MAY_HAVE_RUN)
+            self.assertIs(used.refusal.reason, Reason.OPERATION_EXPIRED)
             self.assertEqual(payments.count_runs("p"), 1)
             again = payments.answer(payments.pay("a-1", f"{fresh}.q", "q"))
             payments.run(1)
@@ -103,8 +105,8 @@
             payments.run(3)
             again = payments.answer(payments.repeat("a-2", "p"))
             payments.run(3)
-            self.assertIs(again.refusal.reason, Reason.OPERATION_LOST)
             self.assertIs(again.verdict, Verdict.MAY_HAVE_RUN)
+            self.assertIs(again.refusal.reason, Reason.OPERATION_LOST)
             self.assertEqual(payments.count_runs("p"), 1)
 
     def test_dispatcher_gone_means_may_have_run(self):
@@ -156,7 +158,7 @@
             again = payments.answer(payments.repeat("b-1", "p"))
             fresh = payments.answer(payments.pay("a-3", f"{prefix}.q", "q"))
             payments.run(2)
-            self.assertEqual(again.replayed.body, b"p 1")
+            self.assertEqual(again.replayed, FIRST_ANSWER)
             self.assertIs(fresh.verdict, Verdict.RAN)
             self.assertEqual(payments.count_greatest_runs(), 1)
 
