Give operators commands to drain, to read histograms and to see accounts

Cause: histograms stood on each host alone, a drain needed curl, client accounts could be read from files only, and errors of the command line showed Python's reprs.

Ruled out: averaging percentiles of hosts, which says nothing; hosts send their encoded histograms and the command adds them up.

Requests that are over are logged with their identifier, at level info if they failed. Statsd counts verdicts. A read of a missing folder creates none.

Conclusion: what operators need of a running fleet is at hand in one command.

--- a/packages/almondgap-cli/almondgap_cli/commands/lookup.py
+++ b/packages/almondgap-cli/almondgap_cli/commands/lookup.py
@@ -4,13 +4,14 @@
 
 import json
 from typing import Annotated
+from urllib.parse import quote
 
 import cappa
 from attrs import define
 
 from almondgap_cli.options import Output
 from almondgap_cli.running import run_command
-from almondgap_cli.web import fetch_json
+from almondgap_cli.web import fetch_json, make_url
 
 
 @cappa.command(name="lookup", help="Ask which entry hosts serve a service.")
@@ -27,7 +28,7 @@
         run_command(self._show)
 
     async def _show(self) -> None:
-        url = f"http://{self.host}/v1/lookup?service={self.service}"
+        url = make_url(self.host, f"/v1/lookup?service={quote(self.service)}")
         answer = await fetch_json(url)
         if self.output == "json":
             print(json.dumps(answer))
--- a/packages/almondgap-cli/almondgap_cli/commands/status.py
+++ b/packages/almondgap-cli/almondgap_cli/commands/status.py
@@ -10,7 +10,7 @@
 
 from almondgap_cli.options import Output
 from almondgap_cli.running import run_command
-from almondgap_cli.web import fetch_json
+from almondgap_cli.web import fetch_json, make_url
 
 
 @cappa.command(name="status", help="Show what a host has in force and does.")
@@ -26,7 +26,7 @@
         run_command(self._show)
 
     async def _show(self) -> None:
-        status = await fetch_json(f"http://{self.host}/v1/status")
+        status = await fetch_json(make_url(self.host, "/v1/status"))
         if self.output == "json":
             print(json.dumps(status))
             return
--- a/packages/almondgap-cli/almondgap_cli/configuration.py
+++ b/packages/almondgap-cli/almondgap_cli/configuration.py
@@ -52,7 +52,7 @@
     """
     result = await platform.transact(Transaction(reads=(HEAD,)))
     if result.outcome is not TransactionOutcome.COMMITTED:
-        raise PlatformUnavailable("the head could not be read")
+        raise PlatformUnavailable("the platform gives no answer")
     return CurrentHead.from_row(result.rows[0])
 
 
--- a/packages/almondgap-cli/almondgap_cli/main.py
+++ b/packages/almondgap-cli/almondgap_cli/main.py
@@ -5,8 +5,11 @@
 import cappa
 from attrs import define
 
+from almondgap_cli.commands.account import Account
 from almondgap_cli.commands.apply import Apply
 from almondgap_cli.commands.check import Check
+from almondgap_cli.commands.drain import Drain
+from almondgap_cli.commands.histogram import Histogram
 from almondgap_cli.commands.lookup import Lookup
 from almondgap_cli.commands.replay import Replay
 from almondgap_cli.commands.status import Status
@@ -17,7 +20,9 @@
 class Almondgap:
     """The command and its subcommands."""
 
-    command: cappa.Subcommands[Apply | Check | Lookup | Replay | Status]
+    command: cappa.Subcommands[
+        Account | Apply | Check | Drain | Histogram | Lookup | Replay | Status
+    ]
 
 
 def main() -> None:
--- a/packages/almondgap-daemon/almondgap_daemon/metrics.py
+++ b/packages/almondgap-daemon/almondgap_daemon/metrics.py
@@ -54,23 +54,48 @@
         self.counts[key] = self.counts.get(key, 0) + 1
         histogram = self.histograms.get(account)
         if histogram is None:
-            histogram = HdrHistogram(1, HIGHEST_MICROS, SIGNIFICANT_DIGITS)
+            histogram = _make_histogram()
             self.histograms[account] = histogram
         histogram.record_value(min(max(end.elapsed, 1), HIGHEST_MICROS))
-        self.sink.incr(f"requests.{account}.{end.status}")
-        self.sink.timing(f"latency.{account}", end.elapsed / MICROS_PER_MILLI)
+        name = account.replace(".", "_")
+        self.sink.incr(f"requests.{name}.{end.status}")
+        self.sink.incr(f"verdicts.{end.verdict.value}")
+        self.sink.timing(f"latency.{name}", end.elapsed / MICROS_PER_MILLI)
+
+    def encode(self) -> dict[str, str]:
+        """Return the histograms in a form that can be merged over hosts."""
+        return {
+            account: histogram.encode().decode()
+            for account, histogram in sorted(self.histograms.items())
+        }
 
     def summarize(self) -> dict[str, dict[str, float]]:
         """Return percentiles per client account, in milliseconds."""
         return {
-            account: _summarize(histogram)
+            account: summarize(histogram)
             for account, histogram in sorted(self.histograms.items())
         }
 
 
-def _summarize(histogram: HdrHistogram) -> dict[str, float]:
+def merge_histograms(parts: list[dict[str, str]]) -> dict[str, HdrHistogram]:
+    """Return the sum of several hosts' encoded histograms, per client account."""
+    merged: dict[str, HdrHistogram] = {}
+    for part in parts:
+        for account, encoded in part.items():
+            if account not in merged:
+                merged[account] = _make_histogram()
+            merged[account].decode_and_add(encoded)
+    return merged
+
+
+def summarize(histogram: HdrHistogram) -> dict[str, float]:
+    """Return the count and the percentiles, in milliseconds."""
     summary = {"count": histogram.get_total_count()}
     for percentile in PERCENTILES:
         value = histogram.get_value_at_percentile(percentile)
         summary[f"p{percentile:g}_ms"] = value / MICROS_PER_MILLI
     return summary
+
+
+def _make_histogram() -> HdrHistogram:
+    return HdrHistogram(1, HIGHEST_MICROS, SIGNIFICANT_DIGITS)
--- a/packages/almondgap-daemon/almondgap_daemon/node.py
+++ b/packages/almondgap-daemon/almondgap_daemon/node.py
@@ -14,7 +14,7 @@
 from almondgap_core.messages import Message
 from almondgap_core.reducer import step
 from almondgap_core.state import HostState
-from almondgap_core.units import MICROS_PER_SECOND
+from almondgap_core.units import MICROS_PER_MILLI, MICROS_PER_SECOND
 from almondgap_daemon.metrics import Metrics
 from almondgap_daemon.peers import PeerLinks
 from almondgap_daemon.rim import HostList, ObjectStore, TableService
@@ -24,6 +24,9 @@
 TICK_S = 0.05
 HOST_LIST_INTERVAL_S = 2.0
 
+#: Answers from this status on are logged at level info.
+FAILED_STATUS = 500
+
 
 @define
 class Node:
@@ -95,6 +98,7 @@
                 self._tell_exchange(effect)
             case effects.Finished():
                 self.metrics.record(effect)
+                _log_end(effect)
             case effects.Transact():
                 self._transact(effect)
             case effects.FetchBody():
@@ -165,6 +169,20 @@
         self.feed(events.HostsListed(self.now(), hosts))
 
 
+def _log_end(end: effects.Finished) -> None:
+    """Log a request that is over; what went wrong at a higher level."""
+    write = log.info if end.status == 0 or end.status >= FAILED_STATUS else log.debug
+    write(
+        "request over",
+        request=end.req_id,
+        account=end.account,
+        service=end.service,
+        status=end.status,
+        verdict=end.verdict.value,
+        elapsed_ms=end.elapsed / MICROS_PER_MILLI,
+    )
+
+
 def _forgive_platform(failure: Failure) -> None:
     failure.trap(PlatformError)
 
--- a/packages/almondgap-daemon/almondgap_daemon/operators.py
+++ b/packages/almondgap-daemon/almondgap_daemon/operators.py
@@ -54,7 +54,12 @@
                 self.node.metrics.counts.items()
             )
         ]
-        body = {"latency": self.node.metrics.summarize(), "counts": counts}
+        metrics = self.node.metrics
+        body = {
+            "latency": metrics.summarize(),
+            "counts": counts,
+            "encoded": metrics.encode(),
+        }
         return _answer(request, body)
 
     @app.route("/v1/drain", methods=["POST"])
--- a/packages/almondgap-daemon/almondgap_daemon/platform/folder.py
+++ b/packages/almondgap-daemon/almondgap_daemon/platform/folder.py
@@ -84,7 +84,8 @@
         return maybeDeferred(self._list_hosts)
 
     def _transact(self, transaction: Transaction) -> TransactionResult:
-        self.folder.mkdir(parents=True, exist_ok=True)
+        if transaction.writes:
+            self.folder.mkdir(parents=True, exist_ok=True)
         with self._lock():
             tables = self._read_tables()
             result = tables.apply(transaction)
--- a/packages/almondgap-daemon/almondgap_daemon/tls.py
+++ b/packages/almondgap-daemon/almondgap_daemon/tls.py
@@ -160,6 +160,14 @@
         return tuple(stamps)
 
 
+def read_trust(path: Path):
+    """Return the trust in the certificates of a file.
+
+    :raises ConfigurationError: the file holds none.
+    """
+    return trustRootFromCertificates(list(_read_certificates(path)))
+
+
 def list_names(certificate) -> tuple[str, ...]:
     """Return the DNS names that a certificate of the other side is for."""
     if certificate is None:
--- a/tests/daemon/test_tls.py
+++ b/tests/daemon/test_tls.py
@@ -1,12 +1,13 @@
 from __future__ import annotations
 
 import json
+import os
 import socket
 import ssl
 import struct
 import tempfile
 from pathlib import Path
-from unittest import TestCase
+from unittest import TestCase, mock
 
 from almondgap_core.messages import Hello, encode
 from almondgap_core.settings.reader import Report
@@ -80,6 +81,18 @@
             self.assertTrue(conn.recv(100).startswith(b"HTTP/1.1 200 "))
         self.assertFalse(exchange(place, REQUEST).data.startswith(b"HTTP"))
 
+    def test_operators_command_trusts_the_authority_it_is_given(self):
+        place = f"https://{self.fleet.callers(FIRST)}"
+        args = ("lookup", place, "climb-slots", "--output", "json")
+        trusting = {"ALMONDGAP_TLS_AUTHORITY": str(self.authority_file)}
+        with mock.patch.dict(os.environ, trusting):
+            done = self.fleet.run_cli(*args, check=False)
+        self.assertEqual(done.returncode, 0, done.stderr)
+        self.assertTrue(json.loads(done.stdout)["hosts"])
+        done = self.fleet.run_cli(*args, check=False)
+        self.assertEqual(done.returncode, 1)
+        self.assertNotIn("Traceback", done.stderr)
+
     def test_hosts_hear_only_hosts_with_their_own_name(self):
         self.fleet.wait_until(lambda: SECOND in self.peers(FIRST), "second heard")
         self.fleet.wait_until(lambda: FIRST in self.peers(SECOND), "first heard")
