--- a/packages/almondgap-core/almondgap_core/reducer.py
+++ b/packages/almondgap-core/almondgap_core/reducer.py
@@ -7,7 +7,15 @@
 from almondgap_core import lifecycle
 from almondgap_core.effects import Effect
 from almondgap_core.events import Event, PeerMessage
-from almondgap_core.limits import admission, notices, renewal
+from almondgap_core.limits import (
+    admission,
+    borrowing,
+    granting,
+    lending,
+    notices,
+    outage,
+    renewal,
+)
 from almondgap_core.membership import directory, heartbeats
 from almondgap_core.messages import Message
 from almondgap_core.operations import asking, books, handover, holder, minting
@@ -25,7 +33,10 @@
     rollout,
     clientmap_rollout,
     renewal,
+    outage,
     notices,
+    lending,
+    borrowing,
     books,
     handover,
     minting,
@@ -43,6 +54,11 @@
     heartbeats,
     directory,
     notices,
+    outage,
+    lending,
+    borrowing,
+    granting,
+    admission,
     holder,
     asking,
     handover,
