--- a/packages/almondgap-cli/almondgap_cli/commands/account.py
+++ b/packages/almondgap-cli/almondgap_cli/commands/account.py
@@ -9,7 +9,7 @@
 from attrs import asdict, define
 
 from almondgap_cli.configuration import read_head
-from almondgap_cli.options import Output, Platform
+from almondgap_cli.options import Hosts, Output, Platform
 from almondgap_cli.running import run_command
 from almondgap_cli.web import fetch_json, make_url
 from almondgap_core.exceptions import UserError
@@ -51,9 +51,7 @@
     """Arguments of the command."""
 
     name: Annotated[str, cappa.Arg(help="Name of the client account.")]
-    hosts: Annotated[
-        list[str], cappa.Arg(help="Operators' addresses and ports.", num_args=-1)
-    ]
+    hosts: Hosts
     output: Output = "text"
 
     def __call__(self) -> None:
--- a/packages/almondgap-cli/almondgap_cli/commands/histogram.py
+++ b/packages/almondgap-cli/almondgap_cli/commands/histogram.py
@@ -3,12 +3,11 @@
 from __future__ import annotations
 
 import json
-from typing import Annotated
 
 import cappa
 from attrs import define
 
-from almondgap_cli.options import Output
+from almondgap_cli.options import Hosts, Output
 from almondgap_cli.running import run_command
 from almondgap_cli.web import fetch_json, make_url
 from almondgap_daemon.metrics import merge_histograms, summarize
@@ -19,9 +18,7 @@
 class Histogram:
     """Arguments of the command."""
 
-    hosts: Annotated[
-        list[str], cappa.Arg(help="Operators' addresses and ports.", num_args=-1)
-    ]
+    hosts: Hosts
     output: Output = "text"
 
     def __call__(self) -> None:
--- a/packages/almondgap-cli/almondgap_cli/options.py
+++ b/packages/almondgap-cli/almondgap_cli/options.py
@@ -20,3 +20,7 @@
 Output = Annotated[
     OutputFormat, cappa.Arg(long="--output", help="Form of what is printed.")
 ]
+
+Hosts = Annotated[
+    list[str], cappa.Arg(help="Operators' addresses and ports.", num_args=-1)
+]
--- a/packages/almondgap-testkit/almondgap_testkit/sockets.py
+++ b/packages/almondgap-testkit/almondgap_testkit/sockets.py
@@ -6,6 +6,9 @@
 
 from attrs import frozen
 
+#: Key of the largest client account of the example "trust".
+TRUST_KEY = "agk_citytowers_example-secret-of-city-towers"
+
 TIMEOUT_S = 15.0
 READ_BYTES = 65_536
 
@@ -41,6 +44,24 @@
         return self.data.partition(b"\r\n\r\n")[2]
 
 
+def build_request(
+    path: str,
+    method: str = "GET",
+    headers: tuple[str, ...] = (),
+    body: bytes = b"",
+    key: str = TRUST_KEY,
+) -> bytes:
+    """Return the bytes of a request that asks to close the connection."""
+    lines = [
+        f"{method} {path} HTTP/1.1",
+        "Host: here",
+        f"Almondgap-Key: {key}",
+        "Connection: close",
+        *headers,
+    ]
+    return "\r\n".join([*lines, "", ""]).encode("latin-1") + body
+
+
 def connect(place: str) -> socket.socket:
     """Return a connection to ``address:port``."""
     address, _, port = place.partition(":")
--- a/tests/cli/test_commands.py
+++ b/tests/cli/test_commands.py
@@ -7,15 +7,12 @@
 from unittest import TestCase
 
 from almondgap_testkit.fleet import Fleet
-from almondgap_testkit.sockets import exchange
+from almondgap_testkit.sockets import build_request, exchange
 
 HOSTS = ("akl-a-1", "wlg-a-1")
 FIRST, SECOND = HOSTS
 ACCOUNT = "city-towers"
-REQUEST = (
-    b"GET /v1/call/climb-slots/x HTTP/1.1\r\nHost: here\r\nConnection: close\r\n"
-    b"Almondgap-Key: agk_citytowers_example-secret-of-city-towers\r\n\r\n"
-)
+REQUEST = build_request("/v1/call/climb-slots/x")
 
 
 class CommandTests(TestCase):
--- a/tests/daemon/test_bad_input.py
+++ b/tests/daemon/test_bad_input.py
@@ -10,35 +10,18 @@
 
 from almondgap_core.settings.parsing import parse_document
 from almondgap_testkit.fleet import Fleet
-from almondgap_testkit.sockets import RawAnswer, connect, exchange
+from almondgap_testkit.sockets import RawAnswer, build_request, connect, exchange
 from almondgap_testkit.standins.raw import RawTarget
 
 HOST = "akl-a-1"
-KEY = "agk_citytowers_example-secret-of-city-towers"
 RAW_PORT = 9000
+CALL = "/v1/call/climb-slots/x"
 MEGABYTE = 1_048_576
 
 #: What kernel buffers of two connections may hold beside the host's own buffers.
 BUFFERED_BYTES = 32 * MEGABYTE
 
 
-def build_request(
-    path: str = "/v1/call/climb-slots/x",
-    method: str = "GET",
-    headers: tuple[str, ...] = (),
-    body: bytes = b"",
-) -> bytes:
-    """Return the bytes of a request that asks to close the connection."""
-    lines = [
-        f"{method} {path} HTTP/1.1",
-        "Host: here",
-        f"Almondgap-Key: {KEY}",
-        "Connection: close",
-        *headers,
-    ]
-    return "\r\n".join([*lines, "", ""]).encode("latin-1") + body
-
-
 class BadInputTests(TestCase):
     @classmethod
     def setUpClass(cls):
@@ -78,7 +61,7 @@
 
     def tearDown(self):
         self.assertIsNone(self.process.poll())
-        answer = exchange(self.place, build_request())
+        answer = exchange(self.place, build_request(CALL))
         self.assertEqual(answer.status, 200, answer.data)
 
     def assert_refused(self, answer: RawAnswer, status: int, reason: str):
@@ -86,8 +69,8 @@
         self.assertEqual(answer.headers["almondgap-verdict"], "not-run")
         self.assertEqual(json.loads(answer.body)["reason"], reason)
 
-    def send(self, *args, **kwargs) -> RawAnswer:
-        return exchange(self.place, build_request(*args, **kwargs))
+    def send(self, path: str = CALL, *args, **kwargs) -> RawAnswer:
+        return exchange(self.place, build_request(path, *args, **kwargs))
 
     def call_raw(self, answer: bytes, method: str = "GET") -> RawAnswer:
         self.raw.answer = answer
--- a/tests/daemon/test_planned_stop.py
+++ b/tests/daemon/test_planned_stop.py
@@ -8,16 +8,13 @@
 
 from almondgap_core.settings.parsing import parse_document
 from almondgap_testkit.fleet import Fleet
-from almondgap_testkit.sockets import RawAnswer, exchange
+from almondgap_testkit.sockets import RawAnswer, build_request, exchange
 
 HOSTS = ("akl-a-1", "wlg-a-1", "chc-a-1")
 STOPPED = HOSTS[0]
 REQUESTS = 200
 DELAY_MS = 4_000
-REQUEST = (
-    b"GET /v1/call/climb-slots/x HTTP/1.1\r\nHost: here\r\nConnection: close\r\n"
-    b"Almondgap-Key: agk_citytowers_example-secret-of-city-towers\r\n\r\n"
-)
+REQUEST = build_request("/v1/call/climb-slots/x")
 
 
 class PlannedStopTests(TestCase):
--- a/tests/daemon/test_single_site.py
+++ b/tests/daemon/test_single_site.py
@@ -5,13 +5,10 @@
 from unittest import TestCase
 
 from almondgap_testkit.fleet import EXAMPLES, Fleet
-from almondgap_testkit.sockets import exchange
+from almondgap_testkit.sockets import build_request, exchange
 
 HOST = "site-1"
-REQUEST = (
-    b"GET /v1/call/shop/x HTTP/1.1\r\nHost: here\r\nConnection: close\r\n"
-    b"Almondgap-Key: agk_cornershop_example-secret-of-corner-shop\r\n\r\n"
-)
+KEY = "agk_cornershop_example-secret-of-corner-shop"
 
 
 class SingleSiteTests(TestCase):
@@ -30,7 +27,9 @@
         fleet.run_cli("apply", str(fleet.inventory_file), "--platform", str(state))
         fleet.start_host(HOST)
         fleet.wait_for_url(f"http://{fleet.operators(HOST)}/v1/ready")
-        answer = exchange(fleet.callers(HOST), REQUEST)
+        answer = exchange(
+            fleet.callers(HOST), build_request("/v1/call/shop/x", key=KEY)
+        )
         self.assertEqual(answer.status, 200, answer.data)
         self.assertEqual(fleet.stop(HOST), 0)
         self.assertTrue(state.exists())
--- a/tests/daemon/test_tls.py
+++ b/tests/daemon/test_tls.py
@@ -15,14 +15,11 @@
 from almondgap_daemon.settings import Settings
 from almondgap_testkit.certificates import Authority, Pair
 from almondgap_testkit.fleet import Fleet
-from almondgap_testkit.sockets import connect, exchange
+from almondgap_testkit.sockets import build_request, connect, exchange
 
 HOSTS = ("akl-a-1", "wlg-a-1", "chc-a-1")
 FIRST, SECOND, STRANGER = HOSTS
-REQUEST = (
-    b"GET /v1/call/climb-slots/x HTTP/1.1\r\nHost: here\r\nConnection: close\r\n"
-    b"Almondgap-Key: agk_citytowers_example-secret-of-city-towers\r\n\r\n"
-)
+REQUEST = build_request("/v1/call/climb-slots/x")
 
 
 class TlsTests(TestCase):
