--- a/packages/almondgap-cli/almondgap_cli/main.py
+++ b/packages/almondgap-cli/almondgap_cli/main.py
@@ -5,8 +5,11 @@
 import cappa
 from attrs import define
 
+from almondgap_cli.commands.account import Account
 from almondgap_cli.commands.apply import Apply
 from almondgap_cli.commands.check import Check
+from almondgap_cli.commands.drain import Drain
+from almondgap_cli.commands.histogram import Histogram
 from almondgap_cli.commands.lookup import Lookup
 from almondgap_cli.commands.map import Map
 from almondgap_cli.commands.replay import Replay
@@ -18,7 +21,9 @@
 class Almondgap:
     """The command and its subcommands."""
 
-    command: cappa.Subcommands[Apply | Check | Lookup | Map | Replay | Status]
+    command: cappa.Subcommands[
+        Account | Apply | Check | Drain | Histogram | Lookup | Map | Replay | Status
+    ]
 
 
 def main() -> None:
--- a/packages/almondgap-daemon/almondgap_daemon/peers.py
+++ b/packages/almondgap-daemon/almondgap_daemon/peers.py
@@ -13,16 +13,25 @@
 import structlog
 from attrs import Factory, define
 from twisted.internet import protocol
-from twisted.internet.endpoints import TCP4ClientEndpoint, connectProtocol
+from twisted.internet.endpoints import (
+    TCP4ClientEndpoint,
+    connectProtocol,
+    wrapClientTLS,
+)
 from twisted.protocols.basic import Int32StringReceiver
+from twisted.protocols.policies import TimeoutMixin
 
 from almondgap_core.exceptions import MessageError
 from almondgap_core.messages import MAX_MESSAGE_BYTES, Hello, Message, decode, encode
+from almondgap_daemon.tls import list_names
 
 log = structlog.get_logger(__name__)
 
 CONNECT_TIMEOUT_S = 2
 
+#: Longest wait for the first message of a connection, in seconds.
+HELLO_TIMEOUT_S = 5
+
 #: Messages that wait for a connection; older ones are dropped first.
 MAX_WAITING = 256
 
@@ -33,7 +42,7 @@
     return hmac.new(secret.encode(), text.encode(), hashlib.sha256).digest()
 
 
-class PeerReceiver(Int32StringReceiver):
+class PeerReceiver(Int32StringReceiver, TimeoutMixin):
     """The accepting side of a stream."""
 
     MAX_LENGTH = MAX_MESSAGE_BYTES
@@ -49,6 +58,19 @@
         self.on_peer = on_peer
         self.peer: str | None = None
 
+    def connectionMade(self) -> None:
+        """Wait for the hello, but not for long."""
+        self.setTimeout(HELLO_TIMEOUT_S)
+
+    def connectionLost(self, reason) -> None:
+        """Stop waiting."""
+        self.setTimeout(None)
+
+    def timeoutConnection(self) -> None:
+        """Drop a peer that says nothing."""
+        log.warning("peer refused", peer=self.peer, error="no hello")
+        self.transport.abortConnection()
+
     def stringReceived(self, data: bytes) -> None:
         """Handle one message."""
         try:
@@ -76,9 +98,17 @@
             raise MessageError(f"host of another fleet {message.cluster[:40]!r}")
         if not hmac.compare_digest(expected, message.proof):
             raise MessageError("wrong proof")
+        if self.cfg.peers.files is not None:
+            self._check_certificate(message.host)
         self.peer = message.host
+        self.setTimeout(None)
         self.on_peer(message.host, self.transport.getPeer().host, message.port)
 
+    def _check_certificate(self, host: str) -> None:
+        names = list_names(self.transport.getPeerCertificate())
+        if host not in names:
+            raise MessageError(f"certificate for {names}, not for {host!r}")
+
 
 class PeerReceiverFactory(protocol.ServerFactory):
     """Makes the accepting side of streams."""
@@ -190,15 +220,21 @@
         link.waiting.append(data)
         del link.waiting[:-MAX_WAITING]
         if not link.connecting:
-            self._connect(link)
+            self._connect(host, link)
 
     def close(self) -> None:
         """Close all streams."""
         for host in list(self.links):
             self.drop(host)
 
-    def _connect(self, link: Link) -> None:
+    def _connect(self, host: str, link: Link) -> None:
         link.connecting = True
+        opened = connectProtocol(self._make_endpoint(host, link), PeerSender(link))
+        opened.addCallbacks(
+            lambda sender: self._opened(link, sender), lambda _: self._failed(link)
+        )
+
+    def _make_endpoint(self, host: str, link: Link):
         endpoint = TCP4ClientEndpoint(
             self.reactor,
             link.address,
@@ -206,10 +242,10 @@
             timeout=CONNECT_TIMEOUT_S,
             bindAddress=(self.cfg.peers.address, 0),
         )
-        opened = connectProtocol(endpoint, PeerSender(link))
-        opened.addCallbacks(
-            lambda sender: self._opened(link, sender), lambda _: self._failed(link)
-        )
+        files = self.cfg.peers.files
+        if files is None:
+            return endpoint
+        return wrapClientTLS(files.read().make_client_options(host), endpoint)
 
     def _opened(self, link: Link, sender: PeerSender) -> None:
         link.connecting = False
--- a/packages/almondgap-testkit/almondgap_testkit/demo/callers.py
+++ b/packages/almondgap-testkit/almondgap_testkit/demo/callers.py
@@ -133,7 +133,7 @@
         place = lookup.places[0]
         headers = {"Almondgap-Key": account.key, "X-Label": sample.label}
         if lookup.prefix:
-            headers["Idempotency-Key"] = f"{lookup.prefix}{sample.label}"
+            headers["Idempotency-Key"] = f"{lookup.prefix}.{sample.label}"
         try:
             response = yield treq.request(
                 sample.method,
--- a/packages/almondgap-testkit/almondgap_testkit/fleet.py
+++ b/packages/almondgap-testkit/almondgap_testkit/fleet.py
@@ -94,24 +94,31 @@
 
     def start(self) -> None:
         """Start everything, apply the inventory and wait until all hosts serve."""
-        address, port = self.platform.split(":")
-        module = "almondgap_testkit.standins.platform"
-        self._spawn("platform", "-m", module, "--address", address, "--port", port)
-        address, port = self.target_control.split(":")
-        module = "almondgap_testkit.standins.targets"
-        inventory = str(self.inventory_file)
-        self._spawn(
-            "targets", "-m", module, inventory, "--address", address, "--port", port
-        )
-        self.wait_for_url(f"http://{self.platform}/v1/hosts")
-        self.wait_for_url(f"http://{self.target_control}/records")
+        self.start_platform()
+        self.start_targets()
         self.publish_hosts(self.host_names)
+        inventory = str(self.inventory_file)
         self.run_cli("apply", inventory, "--platform", self.platform)
         for name in self.host_names:
             self.start_host(name)
         for name in self.host_names:
             self.wait_for_url(f"http://{self.operators(name)}/v1/ready")
 
+    def start_platform(self) -> None:
+        """Start the platform and wait until it answers."""
+        self._start_standin("platform", self.platform)
+        self.wait_for_url(f"http://{self.platform}/v1/hosts")
+
+    def start_targets(self) -> None:
+        """Start all targets of the inventory and wait until they answer."""
+        self._start_standin("targets", self.target_control, str(self.inventory_file))
+        self.wait_for_url(f"http://{self.target_control}/records")
+
+    def _start_standin(self, name: str, place: str, *args: str) -> None:
+        module = f"almondgap_testkit.standins.{name}"
+        address, port = place.split(":")
+        self._spawn(name, "-m", module, *args, "--address", address, "--port", port)
+
     def start_host(self, name: str) -> None:
         """Start one host."""
         self._spawn(name, "-m", "almondgap_daemon.main", f"{self.folder / name}.json")
