Count each request once in the home's picture of the central bucket

Change: a report says how many tokens went to requests that never asked; only these are counted on report. The picture holds 60 ms of the rate more, since asks of different hosts overtake each other. Surplus goes back at once.

--- a/packages/almondgap-core/almondgap_core/limits/admission.py
+++ b/packages/almondgap-core/almondgap_core/limits/admission.py
@@ -47,7 +47,7 @@
         state.emit(refused)
         return
     note_demand(state, name, event.now)
-    if take_credit(state, name, event.now):
+    if take_credit(state, name, event.now, False):
         state.emit(RateGranted(event.now, event.req_id))
         return
     deadline = min(event.deadline, event.now + HOLD_US)
@@ -115,7 +115,7 @@
     if now >= waiter.deadline:
         _refuse(state, waiter, MICROS_PER_SECOND, now)
         return
-    if take_credit(state, waiter.name, now):
+    if take_credit(state, waiter.name, now, True):
         _grant(state, waiter, now)
         return
     if waiter.number:
@@ -160,15 +160,16 @@
     state, ask: Ask, message: TokenGrant, waiter: Waiter | None, now: int
 ) -> None:
     until = ask.sent + CREDIT_US
-    if now >= until:
-        settle(state, ask.host, ask.name, message.number, message.tokens)
-        return
+    waiting = any(w.name == ask.name for w in state.limits.asking.waiters.values())
     credit = Credit(message.number, ask.host, message.tokens, until)
+    if now >= until or not waiting:
+        settle(state, ask.name, credit)
+        return
     state.limits.asking.credits.setdefault(ask.name, []).append(credit)
-    if waiter is not None and take_credit(state, ask.name, now):
+    if waiter is not None and take_credit(state, ask.name, now, True):
         _grant(state, waiter, now)
     for other in list(state.limits.asking.waiters.values()):
-        if other.name == ask.name and take_credit(state, ask.name, now):
+        if other.name == ask.name and take_credit(state, ask.name, now, True):
             _grant(state, other, now)
 
 
--- a/packages/almondgap-core/almondgap_core/limits/asking.py
+++ b/packages/almondgap-core/almondgap_core/limits/asking.py
@@ -7,7 +7,7 @@
 from almondgap_core.limits.leases import find_holder
 from almondgap_core.limits.messages import TokenAsk, TokenUsed
 from almondgap_core.limits.partitions import find_partition
-from almondgap_core.limits.state import Ask, Waiter
+from almondgap_core.limits.state import Ask, Credit, Waiter
 from almondgap_core.state import HostState
 from almondgap_core.units import millis
 
@@ -68,8 +68,11 @@
     return demand // SPARE_PART if demand >= SPARE_FROM else 0
 
 
-def take_credit(state: HostState, name: str, now: int) -> bool:
-    """Spend one token that another host granted, if there is one."""
+def take_credit(state: HostState, name: str, now: int, asked: bool) -> bool:
+    """Spend one token that another host granted, if there is one.
+
+    :param asked: whether the request asked a host before.
+    """
     credits = state.limits.asking.credits.get(name, [])
     while credits:
         credit = credits[0]
@@ -77,16 +80,17 @@
             _drop(state, name)
             continue
         credit.tokens -= 1
+        credit.unasked += not asked
         if not credit.tokens:
             _drop(state, name)
         return True
     return False
 
 
-def settle(state: HostState, host: str, name: str, number: int, returned: int) -> None:
-    """Note for the next report that an ask's tokens are spent or given back."""
-    used = state.limits.asking.used.setdefault(host, [])
-    used.append((name, number, returned))
+def settle(state: HostState, name: str, credit: Credit) -> None:
+    """Note for the next report that a credit is spent, and what is left goes back."""
+    used = state.limits.asking.used.setdefault(credit.host, [])
+    used.append((name, credit.number, credit.tokens, credit.unasked))
 
 
 def send_used(state: HostState, now: int) -> None:
@@ -98,11 +102,10 @@
         if not credits:
             del asking.credits[name]
     for host, entries in asking.used.items():
-        names, numbers, returned = zip(*entries, strict=True)
-        state.perform(SendMessage(host, TokenUsed(names, numbers, returned)))
+        state.perform(SendMessage(host, TokenUsed(*zip(*entries, strict=True))))
     asking.used = {}
 
 
 def _drop(state: HostState, name: str) -> None:
     credit = state.limits.asking.credits[name].pop(0)
-    settle(state, credit.host, name, credit.number, credit.tokens)
+    settle(state, name, credit)
--- a/packages/almondgap-core/almondgap_core/limits/bucket.py
+++ b/packages/almondgap-core/almondgap_core/limits/bucket.py
@@ -43,6 +43,11 @@
         self.level -= tokens * TOKEN
         return True
 
+    def count(self, now: int, tokens: int) -> None:
+        """Take tokens that were used elsewhere, as far as there are any."""
+        self.refill(now)
+        self.level = max(0, self.level - max(0, tokens) * TOKEN)
+
     def wait_for(self, now: int, tokens: int = 1) -> int:
         """Return the microseconds until ``tokens`` will be there."""
         self.refill(now)
--- a/packages/almondgap-core/almondgap_core/limits/granting.py
+++ b/packages/almondgap-core/almondgap_core/limits/granting.py
@@ -15,9 +15,9 @@
 from almondgap_core.limits.leases import CREDIT_HELD_US, find_held
 from almondgap_core.limits.messages import TokenAsk, TokenGrant, TokenUsed
 from almondgap_core.limits.partitions import find_partition
-from almondgap_core.limits.pool import OWN, Pool, Source
+from almondgap_core.limits.pool import OWN, Pool, Reservation, Source
 from almondgap_core.state import HostState
-from almondgap_core.units import TOKEN
+from almondgap_core.units import TOKEN, millis
 
 #: Spare tokens leave at least this part of the burst, as a divisor.
 SPARE_FLOOR = 2
@@ -26,6 +26,10 @@
 SPARE_PART = 8
 
 
+#: Most by which asks from different hosts overtake each other.
+LAG_US = millis(60)
+
+
 @frozen
 class Decision:
     """What a host decides on an ask.
@@ -102,7 +106,8 @@
     spare = _pick_spare(pool, ask.spare)
     pool.take(spare)
     if key is not None:
-        pool.reserve(key, tokens + spare, now + CREDIT_HELD_US)
+        until = now + CREDIT_HELD_US
+        pool.reserve(key, Reservation(tokens + spare, until))
     return Decision(tokens + spare, 0, inside)
 
 
@@ -124,15 +129,15 @@
     state: HostState, host: str, message: TokenUsed, now: int
 ) -> None:
     """Free what the reported tokens held back."""
-    entries = zip(message.names, message.numbers, message.returned, strict=False)
-    for name, number, returned in entries:
+    columns = (message.names, message.numbers, message.returned, message.unasked)
+    for name, number, returned, unasked in zip(*columns, strict=False):
         pool = state.limits.pools.get(name)
         if pool is None or (host, number) not in pool.reservations:
             continue
         pool.advance(now)
-        unasked = pool.settle((host, number), returned) - 1
-        if unasked > 0 and name in state.limits.ideals:
-            state.limits.ideals[name].take(now, unasked)
+        pool.settle((host, number), returned)
+        if name in state.limits.ideals:
+            state.limits.ideals[name].count(now, unasked)
 
 
 def _find_own_end(state: HostState, name: str, now: int) -> int | None:
@@ -150,10 +155,15 @@
 
 
 def _count_ideal(state: HostState, name: str, ask: TokenAsk, now: int) -> bool:
+    """Count requests in the picture of one central bucket; return whether it admits.
+
+    Asks arrive out of order by up to ``LAG_US``, so the picture holds that much more.
+    """
     limit = find_limit(state.inventory, name)
+    slack = 1 + -(-limit.rate * LAG_US // TOKEN)
     ideal = state.limits.ideals.get(name)
-    if ideal is None or (ideal.rate, ideal.burst) != (limit.rate, limit.burst):
-        ideal = Bucket.full(limit.rate, limit.burst, now)
+    if ideal is None or (ideal.rate, ideal.burst) != (limit.rate, limit.burst + slack):
+        ideal = Bucket.full(limit.rate, limit.burst + slack, now)
         state.limits.ideals[name] = ideal
     return bool(ask.again) or ideal.take(now, ask.needed)
 
--- a/packages/almondgap-core/almondgap_core/limits/messages.py
+++ b/packages/almondgap-core/almondgap_core/limits/messages.py
@@ -154,6 +154,7 @@
 
     :ivar numbers: asks whose tokens are settled.
     :ivar returned: tokens of each that were not spent.
+    :ivar unasked: tokens of each that went to requests that never asked.
     """
 
     kind: ClassVar[str] = "token-used"
@@ -161,6 +162,7 @@
     names: tuple[str, ...] = texts()
     numbers: tuple[int, ...] = integers()
     returned: tuple[int, ...] = integers()
+    unasked: tuple[int, ...] = integers()
 
 
 @register
--- a/packages/almondgap-core/almondgap_core/limits/pool.py
+++ b/packages/almondgap-core/almondgap_core/limits/pool.py
@@ -101,24 +101,18 @@
         self.level -= tokens * TOKEN
         return True
 
-    def reserve(self, key: tuple[str, int], tokens: int, until: int) -> None:
+    def reserve(self, key: tuple[str, int], kept: Reservation) -> None:
         """Note tokens that were taken for another host."""
-        self.reservations[key] = Reservation(tokens, until)
-        self.reserved += tokens
+        self.reservations[key] = kept
+        self.reserved += kept.tokens
 
-    def settle(self, key: tuple[str, int], returned: int = 0) -> int:
-        """Note that another host spent its tokens but for those it returns.
-
-        :return: tokens that were spent.
-        """
+    def settle(self, key: tuple[str, int], returned: int = 0) -> None:
+        """Note that another host spent its tokens but for those it returns."""
         kept = self.reservations.pop(key, None)
-        if kept is None:
-            return 0
-        returned = max(0, min(returned, kept.tokens))
-        self.reserved -= kept.tokens
-        self.level += returned * TOKEN
-        self._clip()
-        return kept.tokens - returned
+        if kept is not None:
+            self.reserved -= kept.tokens
+            self.level += max(0, min(returned, kept.tokens)) * TOKEN
+            self._clip()
 
     def compute_wait(self, tokens: int = 1) -> int | None:
         """Return the microseconds until ``tokens`` are there, None if never."""
--- a/packages/almondgap-core/almondgap_core/limits/state.py
+++ b/packages/almondgap-core/almondgap_core/limits/state.py
@@ -220,6 +220,7 @@
 class Credit:
     """Tokens that another host granted for requests to come.
 
+    :ivar unasked: tokens that went to requests which never asked.
     :ivar until: when they can be spent no longer, in microseconds.
     """
 
@@ -227,6 +228,7 @@
     host: str
     tokens: int
     until: int
+    unasked: int = 0
 
 
 @define
@@ -245,7 +247,7 @@
     credits: dict[str, list[Credit]] = Factory(dict)
     demand: dict[str, int] = Factory(dict)
     next_decay: int = 0
-    used: dict[str, list[tuple[str, int, int]]] = Factory(dict)
+    used: dict[str, list[tuple[str, int, int, int]]] = Factory(dict)
     misses: dict[str, int] = Factory(dict)
 
 
