Use the least share of every version that may bound another

Cause: an owner used its share of a new configuration at once, while another still used its larger share of the old one.

Ruled out: a table write per change by every host; waiting a fixed time (a host that is cut off keeps the old version as long as it holds its lease); taking a version that was never seen here as bound by the ones around it.

Change: a host uses the least of its shares from the last version that every holder is known to have reached up to its own, nothing if it skipped one. Notices carry the version from which on nothing older is in use, loans included. Whoever takes a partition reads the head in the same transaction and uses nothing before it runs that version. Partitions whose holders say nothing are looked up in the table: free by the rule of take-over counts as reached. Rows name the version that all had reached, so that the next holder need not wait.

Conclusion: a change of the division takes force within 15 s of the apply.

--- a/packages/almondgap-core/almondgap_core/limits/granting.py
+++ b/packages/almondgap-core/almondgap_core/limits/granting.py
@@ -8,7 +8,6 @@
 from almondgap_core.limits.bucket import Bucket
 from almondgap_core.limits.catalogue import (
     Limit,
-    compute_share,
     find_limit,
     list_limits,
 )
@@ -16,6 +15,7 @@
 from almondgap_core.limits.messages import TokenAsk, TokenGrant, TokenUsed
 from almondgap_core.limits.partitions import find_partition
 from almondgap_core.limits.pool import OWN, Pool, Reservation, Source
+from almondgap_core.limits.versions import find_share
 from almondgap_core.state import HostState
 from almondgap_core.units import TOKEN, millis
 
@@ -86,7 +86,7 @@
         list_held_names(state, now)
         shares = state.limits.shares
     if name not in shares:
-        shares[name] = compute_share(state.inventory, state.failure_domain, name)
+        shares[name] = find_share(state, name)
     return shares[name]
 
 
--- a/packages/almondgap-core/almondgap_core/limits/leases.py
+++ b/packages/almondgap-core/almondgap_core/limits/leases.py
@@ -59,4 +59,4 @@
             return None
         return watched.row.holder
     named = state.limits.leases.named.get(partition)
-    return None if named is None else named[1]
+    return None if named is None else named.host
--- a/packages/almondgap-core/almondgap_core/limits/lending.py
+++ b/packages/almondgap-core/almondgap_core/limits/lending.py
@@ -53,6 +53,7 @@
 def handle_lease_taken(state: HostState, event: LeaseTaken) -> None:
     """Let what the partition holds begin to accrue."""
     state.limits.next_offers = event.now
+    state.limits.shares.clear()
     for name in list_held_names(state, event.now):
         open_pool(state, name, event.now)
 
--- a/packages/almondgap-core/almondgap_core/limits/messages.py
+++ b/packages/almondgap-core/almondgap_core/limits/messages.py
@@ -16,6 +16,7 @@
 
     :ivar indexes: indexes of the partitions.
     :ivar epochs: epoch of each, in the same order.
+    :ivar version: configuration version from which on the sender uses shares.
     """
 
     kind: ClassVar[str] = "holdings"
@@ -23,6 +24,7 @@
     failure_domain: str = text()
     indexes: tuple[int, ...] = integers()
     epochs: tuple[int, ...] = integers()
+    version: int = integer()
 
 
 @register
--- a/packages/almondgap-core/almondgap_core/limits/notices.py
+++ b/packages/almondgap-core/almondgap_core/limits/notices.py
@@ -8,6 +8,7 @@
 from almondgap_core.limits.leases import find_held
 from almondgap_core.limits.messages import HoldingsNotice
 from almondgap_core.limits.partitions import Partition
+from almondgap_core.limits.state import Named
 from almondgap_core.state import HostState
 from almondgap_core.units import seconds
 
@@ -49,12 +50,12 @@
     leases = state.limits.leases
     if message.failure_domain == state.failure_domain:
         leases.next_renewal = min(leases.next_renewal, now + state.draw(SPREAD_US))
-        return
     named = leases.named
     for index, epoch in zip(message.indexes, message.epochs, strict=False):
         partition = Partition(message.failure_domain, index)
-        if epoch >= named.get(partition, (0, ""))[0]:
-            named[partition] = (epoch, host)
+        known = named.get(partition)
+        if known is None or (epoch, message.version) >= (known.epoch, known.version):
+            named[partition] = Named(epoch, host, message.version)
 
 
 def _make_notice(state: HostState, now: int) -> HoldingsNotice:
@@ -64,6 +65,7 @@
         state.failure_domain,
         tuple(partition.index for partition in held),
         tuple(leases.own[partition].epoch for partition in held),
+        state.limits.versions.settled,
     )
 
 
--- a/packages/almondgap-core/almondgap_core/limits/renewal.py
+++ b/packages/almondgap-core/almondgap_core/limits/renewal.py
@@ -10,7 +10,6 @@
 from almondgap_core.limits.events import LeaseLost, LeaseTaken
 from almondgap_core.limits.leases import (
     CREDIT_HELD_US,
-    DRIFT_US,
     LEASE_US,
     LOOP_GAP_US,
 )
@@ -22,6 +21,7 @@
 from almondgap_core.limits.placing import place
 from almondgap_core.limits.rows import LeaseRow, Witness, make_row_key
 from almondgap_core.limits.state import OwnLease, PendingRenewal, WatchedRow
+from almondgap_core.limits.takeover import compute_free_from
 from almondgap_core.platform import (
     Check,
     Row,
@@ -30,6 +30,7 @@
     TransactionResult,
     Write,
 )
+from almondgap_core.settings.head import HEAD, Head
 from almondgap_core.settings.inventory import MAX_DEADLINE_MS
 from almondgap_core.state import HostState
 from almondgap_core.units import millis, seconds
@@ -91,7 +92,7 @@
     was_read, leases.must_read = leases.must_read, False
     leases.doubtful.clear()
     _watch(state, pending, event.result, event.now)
-    _adopt(state, event.now)
+    _adopt(state, _read_head(event.result), event.now)
     if outcome is TransactionOutcome.CONFLICT or was_read:
         _plan_retry(state, event.now)
     else:
@@ -152,7 +153,7 @@
 def _send(state: HostState, now: int) -> None:
     leases = state.limits.leases
     partitions = tuple(list_partitions(state.inventory, state.failure_domain))
-    reads = tuple(sorted({*partitions, *leases.own}))
+    reads = tuple(sorted({*partitions, *leases.own, *leases.foreign}))
     rows = {} if leases.must_read else _plan_rows(state, partitions, now)
     leases.doubtful |= set(rows) - set(leases.own)
     checks = []
@@ -165,7 +166,7 @@
     leases.sent = now
     ticket = f"{TICKET}:{leases.number}"
     leases.pending = PendingRenewal(ticket, now, rows, reads)
-    keys = tuple(make_row_key(partition) for partition in reads)
+    keys = (*(make_row_key(partition) for partition in reads), HEAD)
     state.perform(Transact(ticket, Transaction(tuple(checks), tuple(writes), keys)))
 
 
@@ -179,7 +180,9 @@
             continue
         lease.witnesses |= frozenset(witnesses)
         lease.hold = min(lease.hold or HOLD_MAX_US, _choose_hold(witnesses))
-        rows[partition] = _make_row(state, lease.epoch, lease.clean, witnesses)
+        row = _make_row(state, lease.epoch, lease.clean, witnesses)
+        full = max(lease.full, state.limits.versions.full)
+        rows[partition] = evolve(row, full=full)
     for partition, lease in _list_releasable(state, rows, placed, now):
         clean = not state.is_busy and _is_clean(lease, now)
         rows[partition] = evolve(rows[partition], released=True, clean=clean)
@@ -188,6 +191,7 @@
         epoch = 1 if past is None else past.epoch + 1
         clean = past is None or (past.released and past.clean)
         row = _make_row(state, epoch, clean, witnesses)
+        row = evolve(row, full=0 if past is None else past.full)
         if past is not None and not past.released:
             # The past holder may go on by promises of hosts that are no witnesses of
             # this row; until it is renewed nobody may take it over early.
@@ -290,22 +294,11 @@
     return now >= free
 
 
-def compute_free_from(state: HostState, watched: WatchedRow) -> int:
-    """Return the time from which this host may take a partition over."""
-    row = watched.row
-    if row is None or row.released:
-        return watched.seen
-    free = watched.seen + row.duration + DRIFT_US
-    if Witness(state.host, state.incarnation) not in row.witnesses:
-        free += row.hold + row.hold // 100
-    return free
-
-
 def _watch(
     state: HostState, pending: PendingRenewal, result: TransactionResult, now: int
 ) -> None:
     leases = state.limits.leases
-    for partition, read in zip(pending.reads, result.rows, strict=True):
+    for partition, read in zip(pending.reads, result.rows[:-1], strict=True):
         known = leases.watched.get(partition)
         if known is None or known.version != read.version:
             leases.watched[partition] = WatchedRow(_parse(read), read.version, now)
@@ -327,7 +320,13 @@
     return row is not None and row.is_held_by(state.host, state.incarnation)
 
 
-def _adopt(state: HostState, now: int) -> None:
+def _read_head(result: TransactionResult) -> int:
+    """Return the version of the configuration that was current at the transaction."""
+    value = result.rows[-1].value
+    return 0 if value is None else Head.from_text(value).version
+
+
+def _adopt(state: HostState, head: int, now: int) -> None:
     """Keep rows that name this run, also if the answer to the write was lost."""
     leases = state.limits.leases
     for partition, watched in leases.watched.items():
@@ -335,6 +334,8 @@
             row = watched.row
             lease = OwnLease(row.epoch, row.clean, now, frozenset(row.witnesses))
             lease.hold = row.hold
+            lease.full = row.full
+            lease.least_version = head
             leases.own[partition] = lease
 
 
--- a/packages/almondgap-core/almondgap_core/limits/rows.py
+++ b/packages/almondgap-core/almondgap_core/limits/rows.py
@@ -32,6 +32,8 @@
     :ivar released: whether the holder gave the partition up.
     :ivar clean: whether nothing of earlier holders could run when this one took it,
         or, in a released row, nothing of any holder when it was released.
+    :ivar full: configuration version that every holder of a share is known to have
+        reached.
     """
 
     holder: str
@@ -42,6 +44,7 @@
     witnesses: tuple[Witness, ...] = ()
     released: bool = False
     clean: bool = False
+    full: int = 0
 
     @classmethod
     def from_text(cls, text: str) -> LeaseRow:
--- a/packages/almondgap-core/almondgap_core/limits/state.py
+++ b/packages/almondgap-core/almondgap_core/limits/state.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from attrs import Factory, define
+from attrs import Factory, define, frozen
 
 from almondgap_core.limits.bucket import Bucket
 from almondgap_core.limits.catalogue import Limit
@@ -37,6 +37,8 @@
     :ivar table_until: end of validity by the table alone; 0 like ``valid_until``.
     :ivar hold: least time beyond it that a row which the store may hold grants.
     :ivar promises: end of each witness's promise by host and incarnation.
+    :ivar full: version that every holder had reached, as the row said.
+    :ivar least_version: version from which this host may use the shares.
     :ivar leaving: when this host stopped using it in order to release it.
     :ivar announced: whether others in this host were told that it is held.
     """
@@ -49,6 +51,8 @@
     table_until: int = 0
     hold: int = 0
     promises: dict[tuple[str, int], int] = Factory(dict)
+    full: int = 0
+    least_version: int = 0
     leaving: int | None = None
     announced: bool = False
 
@@ -68,6 +72,18 @@
     reads: tuple[Partition, ...]
 
 
+@frozen
+class Named:
+    """A holder as its notice says.
+
+    :ivar version: configuration version from which on it uses shares.
+    """
+
+    epoch: int
+    host: str
+    version: int
+
+
 @define
 class LeasesState:
     """Lease rows of this host's failure domain and what this host holds of them.
@@ -83,7 +99,8 @@
     :ivar stop_by: when a stopping host gives up releasing, None before it tries.
     :ivar moved: when this host last gave a partition to another, in microseconds.
     :ivar changed: whether this host took or lost a partition since its last notice.
-    :ivar named: holders of other failure domains' partitions: epoch and host.
+    :ivar named: holders of partitions as their notices say.
+    :ivar foreign: partitions of other failure domains whose rows are read as well.
     """
 
     watched: dict[Partition, WatchedRow] = Factory(dict)
@@ -103,7 +120,8 @@
     must_read: bool = True
     settled: bool = False
     moved: int = 0
-    named: dict[Partition, tuple[int, str]] = Factory(dict)
+    named: dict[Partition, Named] = Factory(dict)
+    foreign: tuple[Partition, ...] = ()
     next_notice: int = 0
     changed: bool = False
 
@@ -251,6 +269,25 @@
     misses: dict[str, int] = Factory(dict)
 
 
+@define
+class VersionsState:
+    """Configuration versions that bound what this host uses.
+
+    :ivar kept: inventories by version, from the last that all others had reached.
+    :ivar full: version that every holder is known to have reached, 0 if none.
+    :ivar settled: version from which on nothing of this host is in use.
+    :ivar settles: when the current version is settled, in microseconds.
+    :ivar since: when it came in force here, in microseconds.
+    """
+
+    kept: dict[int, Inventory] = Factory(dict)
+    full: int = 0
+    settled: int = 0
+    settles: int = 0
+    since: int = 0
+    next_look: int = 0
+
+
 @define
 class LimitsState:
     """Shares of limits at one host.
@@ -265,6 +302,7 @@
     """
 
     leases: LeasesState = Factory(LeasesState)
+    versions: VersionsState = Factory(VersionsState)
     homes: HomesState = Factory(HomesState)
     pools: dict[str, Pool] = Factory(dict)
     ideals: dict[str, Bucket] = Factory(dict)
--- /dev/null
+++ b/packages/almondgap-core/almondgap_core/limits/takeover.py
@@ -0,0 +1,19 @@
+"""Take-over: from when a host may take a partition that another holds."""
+
+from __future__ import annotations
+
+from almondgap_core.limits.leases import DRIFT_US
+from almondgap_core.limits.rows import Witness
+from almondgap_core.limits.state import WatchedRow
+from almondgap_core.state import HostState
+
+
+def compute_free_from(state: HostState, watched: WatchedRow) -> int:
+    """Return the time from which this host may take a partition over."""
+    row = watched.row
+    if row is None or row.released:
+        return watched.seen
+    free = watched.seen + row.duration + DRIFT_US
+    if Witness(state.host, state.incarnation) not in row.witnesses:
+        free += row.hold + row.hold // 100
+    return free
--- /dev/null
+++ b/packages/almondgap-core/almondgap_core/limits/versions.py
@@ -0,0 +1,114 @@
+"""Versions: how shares change while two configurations are in force."""
+
+from __future__ import annotations
+
+from almondgap_core.events import Tick
+from almondgap_core.limits.catalogue import NOTHING, Limit, compute_share
+from almondgap_core.limits.leases import CREDIT_HELD_US, find_held
+from almondgap_core.limits.partitions import Partition, find_partition, list_partitions
+from almondgap_core.limits.takeover import compute_free_from
+from almondgap_core.state import HostState
+from almondgap_core.units import millis, seconds
+
+LOOK_INTERVAL_US = millis(200)
+
+#: Time after which the rows of holders that say nothing are read.
+PATIENCE_US = seconds(3)
+
+#: The first version that a deployment has; no host can use shares of an older one.
+FIRST_VERSION = 1
+
+
+def handle_tick(state: HostState, event: Tick) -> None:
+    """Keep the versions that bound this host, and drop what all others left."""
+    versions = state.limits.versions
+    current = state.settings.version
+    if state.inventory is None or event.now < versions.next_look:
+        return
+    versions.next_look = event.now + LOOK_INTERVAL_US
+    if current not in versions.kept:
+        _add(state, event.now)
+    if versions.settled != current and event.now >= versions.settles:
+        versions.settled = current
+        state.limits.leases.changed = True
+        state.limits.leases.next_notice = event.now
+    if versions.full != current:
+        _look(state, event.now)
+
+
+def find_share(state: HostState, name: str) -> Limit:
+    """Return the part of a limit that this host may use under every version that may
+    still bound another.
+
+    That is the least of its shares from the last version that all holders are known
+    to have reached up to its own. If one of these was never seen here, it is nothing.
+    """
+    versions = state.limits.versions
+    partition = find_partition(state.inventory, state.failure_domain, name)
+    lease = state.limits.leases.own.get(partition)
+    if lease is None or state.settings.version < lease.least_version:
+        return NOTHING
+    base = max(versions.full, lease.full)
+    if not base:
+        return NOTHING
+    shares = []
+    for version in range(base, state.settings.version + 1):
+        inventory = versions.kept.get(version)
+        if inventory is None:
+            return NOTHING
+        if find_partition(inventory, state.failure_domain, name) != partition:
+            return NOTHING
+        shares.append(compute_share(inventory, state.failure_domain, name))
+    rate = min((share.rate for share in shares), default=0)
+    return Limit(rate, min((share.burst for share in shares), default=0))
+
+
+def _add(state: HostState, now: int) -> None:
+    versions = state.limits.versions
+    current = state.settings.version
+    if current == FIRST_VERSION:
+        versions.full = current
+    versions.kept[current] = state.inventory
+    versions.since = now
+    ends = [lent.ends for lent in state.limits.lent.values()]
+    versions.settles = max([now + CREDIT_HELD_US, *ends])
+    state.limits.shares.clear()
+
+
+def _look(state: HostState, now: int) -> None:
+    """Note whether every holder of a share has reached the current version."""
+    versions = state.limits.versions
+    missing = [p for p in _list_all(state) if not _has_reached(state, p, now)]
+    if missing:
+        waited = now - versions.since >= PATIENCE_US
+        state.limits.leases.foreign = tuple(missing) if waited else ()
+        return
+    state.limits.leases.foreign = ()
+    versions.full = state.settings.version
+    versions.kept = {versions.full: state.inventory}
+    state.limits.shares.clear()
+
+
+def _list_all(state: HostState) -> list[Partition]:
+    found: set[Partition] = set()
+    for inventory in state.limits.versions.kept.values():
+        for domain in inventory.failure_domains:
+            found.update(list_partitions(inventory, domain))
+    return sorted(found)
+
+
+def _has_reached(state: HostState, partition: Partition, now: int) -> bool:
+    current = state.settings.version
+    if find_held(state, partition, now) is not None:
+        return state.limits.versions.settled == current
+    named = state.limits.leases.named.get(partition)
+    if named is not None and named.version >= current:
+        return True
+    watched = state.limits.leases.watched.get(partition)
+    if watched is None or watched.seen < state.limits.versions.since:
+        return False
+    # Whoever takes it after this reads the head, so it runs this version or a later.
+    return now >= compute_free_from(state, watched)
+
+
+EVENT_HANDLERS = {Tick: handle_tick}
--- a/packages/almondgap-core/almondgap_core/reducer.py
+++ b/packages/almondgap-core/almondgap_core/reducer.py
@@ -16,6 +16,7 @@
     notices,
     outage,
     renewal,
+    versions,
 )
 from almondgap_core.membership import directory, heartbeats
 from almondgap_core.messages import Message
@@ -45,6 +46,7 @@
     clientmap_rollout,
     renewal,
     outage,
+    versions,
     notices,
     lending,
     borrowing,
--- a/packages/almondgap-testkit/almondgap_testkit/builders.py
+++ b/packages/almondgap-testkit/almondgap_testkit/builders.py
@@ -12,7 +12,7 @@
 from almondgap_core.limits.catalogue import compute_share, list_limits
 from almondgap_core.limits.partitions import list_partitions
 from almondgap_core.limits.pool import OWN, Pool, Source
-from almondgap_core.limits.state import OwnLease
+from almondgap_core.limits.state import OwnLease, VersionsState
 from almondgap_core.settings.inventory import Inventory
 from almondgap_core.settings.reader import Report
 from almondgap_core.state import HostState
@@ -94,6 +94,9 @@
 
 def hold_all(state: HostState) -> None:
     """Let a host hold every partition of its failure domain for a very long time."""
+    kept = {state.settings.version: state.inventory}
+    version = state.settings.version
+    state.limits.versions = VersionsState(kept, version, version)
     leases = state.limits.leases
     for partition in list_partitions(state.inventory, state.failure_domain):
         lease = OwnLease(1, True, 0, valid_until=sys.maxsize, announced=True)
--- a/packages/almondgap-testkit/almondgap_testkit/fakes/rates.py
+++ b/packages/almondgap-testkit/almondgap_testkit/fakes/rates.py
@@ -37,13 +37,17 @@
     retry_after: int = 0
 
 
-def build_rate_text(limits: Mapping[str, Limit], domains: Mapping[str, str]) -> str:
+def build_rate_text(
+    limits: Mapping[str, Limit], domains: Mapping[str, str], partitions: int = 4
+) -> str:
     """Return an inventory with these limits of accounts.
 
     :param limits: by name of account.
     :param domains: region of each failure domain.
+    :param partitions: partitions of each failure domain.
     """
     document = build_document()
+    document["partitions_per_domain"] = partitions
     document["regions"] = {}
     for domain, region in domains.items():
         entry = {"failure_domains": [], "capacity_per_s": 100_000}
--- a/tests/core/limits/test_rates.py
+++ b/tests/core/limits/test_rates.py
@@ -6,12 +6,15 @@
 from hypothesis import strategies as st
 
 from almondgap_core.limits.catalogue import Limit
+from almondgap_core.limits.versions import find_share
 from almondgap_core.units import millis, seconds
-from almondgap_testkit.fakes.rates import RateWorld
+from almondgap_testkit.fakes.rates import RateWorld, build_rate_text
 from tests.core.limits.test_leases import FAULTS, run_fault
 
 HOSTS = {"a-1": "a", "a-2": "a", "b-1": "b", "c-1": "c"}
 DOMAINS = {"a": "north", "b": "north", "c": "south"}
+FOUR_DOMAINS = {**DOMAINS, "d": "south"}
+VARIANTS = ((DOMAINS, 4), (FOUR_DOMAINS, 4), (DOMAINS, 3))
 LIMITS = {"big": Limit(50_000, 20), "small": Limit(3_000, 2)}
 STEP_US = millis(10)
 
@@ -68,6 +71,61 @@
         self.assertGreaterEqual(admitted, 400 * 0.02 * 50 / 3 * 0.95)
         self.assert_bounds(world)
 
+    def test_new_division_is_in_force_everywhere(self):
+        world = build_world()
+        world.apply(build_rate_text(LIMITS, VARIANTS[1][0], VARIANTS[1][1]))
+        world.run(seconds(15))
+        for host in world.hosts.values():
+            self.assertEqual(host.state.limits.versions.full, 2)
+        self.send(world, "a-2", "big", 15, 0)
+        self.assertEqual(world.list_wrongful("big"), [])
+        self.assert_bounds(world)
+
+    def test_share_does_not_grow_while_another_may_use_the_older(self):
+        world = RateWorld(LIMITS, HOSTS, FOUR_DOMAINS)
+        world.run(seconds(12))
+        shares = self.find_bursts(world, "b-1")
+        world.network.isolate("a")
+        world.apply(build_rate_text(LIMITS, DOMAINS))
+        world.run(seconds(12))
+        self.assertEqual(world.hosts["a-1"].state.settings.version, 1)
+        self.assertEqual(world.hosts["b-1"].state.settings.version, 2)
+        self.assertEqual(self.find_bursts(world, "b-1"), shares)
+        world.network.heal()
+        world.run(seconds(15))
+        self.assertGreater(self.find_bursts(world, "b-1"), shares)
+
+    def find_bursts(self, world, host):
+        return find_share(world.hosts[host].state, "account:big").burst
+
+    @settings(derandomize=True, deadline=None, max_examples=25)
+    @given(
+        st.integers(0, 1000),
+        st.lists(
+            st.tuples(
+                st.sampled_from(("none", "cut", "heal", "pause", "resume", "crash")),
+                st.sampled_from(sorted(HOSTS)),
+                st.integers(0, 3),
+                st.integers(10, 60),
+            ),
+            min_size=3,
+            max_size=8,
+        ),
+    )
+    def test_no_window_is_exceeded_while_versions_overlap(self, seed, changes):
+        world = build_world(seed)
+        for fault, name, variant, steps in changes:
+            run_fault(world, fault, name)
+            if variant < len(VARIANTS):
+                domains, partitions = VARIANTS[variant]
+                world.apply(build_rate_text(LIMITS, domains, partitions))
+            for _ in range(steps):
+                for host in HOSTS:
+                    world.ask(host, "big")
+                world.run(STEP_US * 8)
+        world.run(seconds(2))
+        self.assert_bounds(world)
+
     @settings(derandomize=True, deadline=None, max_examples=40)
     @given(
         st.integers(0, 1000),
