Keep answering for a partition until its lease is released

Cause: a partition that moves between live hosts was held by nobody for the two seconds and more in which loans ran out, so repeats of operations were told 'may have run' (test_rolling_restart_leaves_no_doubt, 6 of 60 answers). Ruled out: the directory, which named the right host, and records, which had all moved.

Change: a host that is to release a lease first stops lending the shares of rates, and answers for slots and operations until it sends the release.

Conclusion: only shares of rates need the time of loans.

--- a/packages/almondgap-core/almondgap_core/limits/granting.py
+++ b/packages/almondgap-core/almondgap_core/limits/granting.py
@@ -11,7 +11,7 @@
     find_limit,
     list_limits,
 )
-from almondgap_core.limits.leases import CREDIT_HELD_US, find_held
+from almondgap_core.limits.leases import CREDIT_HELD_US, find_lendable
 from almondgap_core.limits.messages import TokenAsk, TokenGrant, TokenUsed
 from almondgap_core.limits.partitions import find_partition
 from almondgap_core.limits.pool import OWN, Pool, Reservation, Source
@@ -75,7 +75,7 @@
         for name in list_limits(state.inventory):
             partition = find_partition(state.inventory, state.failure_domain, name)
             limits.names.setdefault(partition, []).append(name)
-    held = [p for p in limits.names if find_held(state, p, now) is not None]
+    held = [p for p in limits.names if find_lendable(state, p, now) is not None]
     return [name for partition in held for name in limits.names[partition]]
 
 
@@ -144,7 +144,7 @@
     if state.inventory is None:
         return None
     partition = find_partition(state.inventory, state.failure_domain, name)
-    if find_held(state, partition, now) is None:
+    if find_lendable(state, partition, now) is None:
         return None
     lent = state.limits.lent.get(name)
     if lent is not None:
--- a/packages/almondgap-core/almondgap_core/limits/leases.py
+++ b/packages/almondgap-core/almondgap_core/limits/leases.py
@@ -40,13 +40,25 @@
     """Return this host's lease on a partition, or None if it holds none at ``now``."""
     leases = state.limits.leases
     lease = leases.own.get(partition)
-    if lease is None or now >= lease.valid_until or lease.leaving is not None:
+    if lease is None or now >= lease.valid_until:
         return None
     if leases.last_tick is not None and now - leases.last_tick > LOOP_GAP_US:
         return None
     return HeldLease(partition, lease.epoch)
 
 
+def find_lendable(state: HostState, partition: Partition, now: int) -> HeldLease | None:
+    """Return a lease like :func:`find_held`, unless the host is to release it.
+
+    Shares of rates stop being used and lent first, so that loans can run out while the
+    holder still answers for slots and operations.
+    """
+    lease = find_held(state, partition, now)
+    if lease is None or state.limits.leases.own[partition].leaving is not None:
+        return None
+    return lease
+
+
 def find_holder(state: HostState, partition: Partition) -> str | None:
     """Return the host that holds a partition as far as is known here.
 
--- a/packages/almondgap-core/almondgap_core/limits/renewal.py
+++ b/packages/almondgap-core/almondgap_core/limits/renewal.py
@@ -185,6 +185,7 @@
         rows[partition] = evolve(row, full=full)
     for partition, lease in _list_releasable(state, rows, placed, now):
         clean = not state.is_busy and _is_clean(lease, now)
+        lease.valid_until = 0
         rows[partition] = evolve(rows[partition], released=True, clean=clean)
     for partition in _plan_takes(state, now):
         past = leases.watched[partition].row
@@ -267,7 +268,7 @@
 
 
 def _pick_leaving(state: HostState, placed, now: int) -> list[Partition]:
-    """Return the partitions to stop using: all on a stop, else one at a time."""
+    """Return the partitions to stop lending: all on a stop, else one at a time."""
     leases = state.limits.leases
     staying = [p for p, lease in leases.own.items() if lease.leaving is None]
     if state.stopping:
--- a/packages/almondgap-core/almondgap_core/limits/state.py
+++ b/packages/almondgap-core/almondgap_core/limits/state.py
@@ -39,7 +39,7 @@
     :ivar promises: end of each witness's promise by host and incarnation.
     :ivar full: version that every holder had reached, as the row said.
     :ivar least_version: version from which this host may use the shares.
-    :ivar leaving: when this host stopped using it in order to release it.
+    :ivar leaving: when this host stopped lending its shares in order to release it.
     :ivar announced: whether others in this host were told that it is held.
     """
 
