--- a/packages/almondgap-core/almondgap_core/limits/renewal.py
+++ b/packages/almondgap-core/almondgap_core/limits/renewal.py
@@ -109,10 +109,14 @@
 
 def _must_release(state: HostState, now: int) -> bool:
     leases = state.limits.leases
-    ready = state.stopping and not state.is_busy and bool(leases.own)
+    ready = _may_release(state) and bool(leases.own)
     return ready and now >= leases.sent + RETRY_US
 
 
+def _may_release(state: HostState) -> bool:
+    return state.lifecycle.may_release and not state.is_busy
+
+
 def _note_time(state: HostState, now: int) -> None:
     leases = state.limits.leases
     if leases.started is None:
@@ -211,7 +215,7 @@
     """Return the held partitions to give up: all on a stop, else one at a time."""
     leases = state.limits.leases
     if state.stopping:
-        return [] if state.is_busy else list(leases.own)
+        return list(leases.own) if _may_release(state) else []
     if now - leases.moved < MOVE_INTERVAL_US:
         return []
     for partition in leases.own:
--- a/packages/almondgap-core/almondgap_core/operations/handover.py
+++ b/packages/almondgap-core/almondgap_core/operations/handover.py
@@ -8,6 +8,7 @@
 from almondgap_core.limits import leases
 from almondgap_core.limits.division import rank
 from almondgap_core.limits.partitions import Partition, list_partitions
+from almondgap_core.membership.suspicion import is_alive
 from almondgap_core.operations.books import list_books, note_takeover
 from almondgap_core.operations.messages import (
     BooksAsk,
@@ -20,7 +21,7 @@
 from almondgap_core.operations.record import Book, pack_records, unpack_records
 from almondgap_core.operations.state import Fetch
 from almondgap_core.state import HostState
-from almondgap_core.units import MICROS_PER_MILLI, MICROS_PER_SECOND
+from almondgap_core.units import MICROS_PER_MILLI
 
 #: Time between two messages that ask for the same thing.
 RETRY_US = 250 * MICROS_PER_MILLI
@@ -31,9 +32,6 @@
 #: Records of one page stay below this.
 PAGE_BYTES = 131_072
 
-#: A neighbour that was not heard for this long is not asked to keep a book.
-ALIVE_US = 5 * MICROS_PER_SECOND
-
 
 def move_books(state: HostState, now: int) -> int:
     """Ask neighbours to keep this host's books; return how many are still here."""
@@ -166,7 +164,7 @@
     alive = [
         name
         for name, peer in state.members.peers.items()
-        if not peer.stopping and now - peer.heard < ALIVE_US
+        if not peer.stopping and is_alive(state, name, now)
         if name in state.members.listed
     ]
     domain = partition.failure_domain
--- a/packages/almondgap-core/almondgap_core/steering/lookup.py
+++ b/packages/almondgap-core/almondgap_core/steering/lookup.py
@@ -10,6 +10,7 @@
 from almondgap_core.events import HostEntry, Tick
 from almondgap_core.exceptions import LookupRefused
 from almondgap_core.limits.division import rank
+from almondgap_core.membership.suspicion import FAR_SUSPICION_US, is_alive
 from almondgap_core.operations.minting import mint_prefixes
 from almondgap_core.state import HostState
 from almondgap_core.steering.answer import (
@@ -32,8 +33,8 @@
 #: Time between two looks at what the answers were prepared from.
 REFRESH_US = millis(250)
 
-#: Silence after which a host is suspected.
-SUSPICION_US = 3 * MICROS_PER_SECOND
+#: Silence after which a host of another failure domain counts as never heard.
+FORGET_US = 60 * MICROS_PER_SECOND
 
 
 def look_up(
@@ -210,12 +211,22 @@
 
 
 def _is_sound(state: HostState, entry: HostEntry, now: int) -> bool:
+    """Return whether a host serves, as far as is known.
+
+    Most hosts of other failure domains are never heard one by one; they count as sound
+    while their failure domain reports, unless they were heard and fell silent lately.
+    """
     if entry.name == state.host:
         return not state.stopping
     peer = state.members.peers.get(entry.name)
-    if peer is None or peer.stopping:
+    if peer is not None and is_alive(state, entry.name, now):
+        return not peer.stopping
+    if entry.failure_domain == state.failure_domain:
+        return False
+    if peer is not None and now - peer.heard < FORGET_US:
         return False
-    return now - peer.heard <= SUSPICION_US
+    summary = state.members.summaries.get(entry.failure_domain)
+    return summary is not None and now - summary.heard <= FAR_SUSPICION_US
 
 
 EVENT_HANDLERS = {Tick: handle_tick}
--- a/packages/almondgap-testkit/almondgap_testkit/fakes/targets.py
+++ b/packages/almondgap-testkit/almondgap_testkit/fakes/targets.py
@@ -36,6 +36,7 @@
     :ivar stalled: whether requests that come now never end on their own.
     :ivar deaf: whether it does not notice that a connection was closed.
     :ivar ran: how often each label ran.
+    :ivar first_ran: when each label first ran, in microseconds.
     :ivar overloads: requests that came when every slot was taken.
     """
 
@@ -52,6 +53,7 @@
     overloads: int = 0
     started: list[int] = Factory(list)
     ran: dict[str, int] = Factory(dict)
+    first_ran: dict[str, int] = Factory(dict)
 
     def run(self, run: FakeRun) -> None:
         """Take a request; report the head and the end of the answer.
@@ -71,6 +73,7 @@
         self.running += 1
         run.running = True
         self.started.append(self.clock.now)
+        self.first_ran.setdefault(run.label, self.clock.now)
         self.ran[run.label] = self.ran.get(run.label, 0) + 1
         self.clock.call_later(run.remaining, lambda: self._stop(run))
         if not self.stalled:
--- a/tests/core/steering/test_slot_mutations.py
+++ b/tests/core/steering/test_slot_mutations.py
@@ -29,16 +29,17 @@
 
 
 def run_paused_owner() -> int:
-    """Pause an owner until another host has taken its partitions."""
-    world = build_world(domains=1, hosts=2, slots=1, targets_per_domain=4)
+    """Pause an owner until another host has taken its partitions, three times."""
+    world = build_world(domains=1, hosts=2, slots=1, targets_per_domain=8)
     for target in world.targets.values():
-        target.service_time = millis(400)
+        target.service_time = millis(1_200)
     load = Pressure(world, random.Random(3))
-    load.add("c0", 20, seconds(30), ["h0", "h1"])
-    world.run(seconds(2))
-    world.pause("h0")
-    world.run(seconds(16))
-    world.resume("h0")
+    load.add("c0", 40, seconds(100), ["h0", "h1"])
+    for _ in range(3):
+        world.run(seconds(14))
+        world.pause("h0")
+        world.run(seconds(16))
+        world.resume("h0")
     load.finish()
     return count_overloads(world)
 
