--- a/packages/almondgap-core/almondgap_core/membership/summary.py
+++ b/packages/almondgap-core/almondgap_core/membership/summary.py
@@ -17,8 +17,8 @@
     """Load of one service at one host, or added up over a failure domain.
 
     :ivar key: short digest of the service's name, see :func:`compute_key`.
-    :ivar slots: slots of targets that may take work.
-    :ivar used: slots that are taken.
+    :ivar slots: slots of targets that take work; none of ejected ones.
+    :ivar used: slots of these targets that are taken.
     :ivar waiting: requests that wait for a slot.
     :ivar admitted: slots granted per second.
     :ivar errors: attempts per second that failed at the targets.
--- a/packages/almondgap-core/almondgap_core/steering/ejection.py
+++ b/packages/almondgap-core/almondgap_core/steering/ejection.py
@@ -15,8 +15,10 @@
 from almondgap_core.steering.slotbook import TargetView
 from almondgap_core.units import MICROS_PER_MILLI, MICROS_PER_SECOND
 
-#: Failures in a row that eject a target.
+#: Failures in a row that eject a target; as many as it has slots if these are fewer,
+#: since one that stalls gives no further answer before its slots are free again.
 FAILURES_IN_ROW = 5
+LEAST_IN_ROW = 2
 
 #: Share of failures that ejects a target, if it is twice that of the others.
 FAILURE_SHARE = 0.5
@@ -139,7 +141,7 @@
 
 
 def _is_bad(state: HostState, target: Target, view: TargetView, now: int) -> bool:
-    if view.in_row >= FAILURES_IN_ROW:
+    if view.in_row >= max(min(FAILURES_IN_ROW, target.slots), LEAST_IN_ROW):
         return True
     if view.results < LEAST_RESULTS or view.errors < FAILURE_SHARE:
         return False
@@ -165,7 +167,8 @@
         == (target.service, target.failure_domain)
         and not other.draining
     )
-    left = count_open_slots(state, target.service, now) + others
+    left = others
+    left += sum(t.slots for t in list_open_targets(state, target.service, now))
     return left * MAX_SHARE_DIVISOR >= total
 
 
@@ -181,14 +184,14 @@
     return slots
 
 
-def count_open_slots(state: HostState, service: str, now: int) -> int:
-    """Return the slots of owned targets that take work and are to go on taking it."""
-    return sum(
-        target.slots
+def list_open_targets(state: HostState, service: str, now: int) -> list[Target]:
+    """Return the owned targets that take work and are to go on taking it."""
+    return [
+        target
         for target in list_owned_targets(state, service, now)
         if _is_open(find_view(state, target.name), now)
         and not is_blocked(state, target, now)
-    )
+    ]
 
 
 def _is_open(view: TargetView, now: int) -> bool:
--- a/packages/almondgap-testkit/almondgap_testkit/pressure.py
+++ b/packages/almondgap-testkit/almondgap_testkit/pressure.py
@@ -31,7 +31,7 @@
 
 @define
 class Pressure:
-    """Calls by client accounts as Poisson processes.
+    """Calls by client accounts as Poisson processes, independent of each other.
 
     :ivar calls: identifiers by account, in the order of the calls.
     """
@@ -51,17 +51,18 @@
         end = self.world.clock.now + duration
         self.end = max(self.end, end)
         names = list(hosts)
+        rng = random.Random(self.rng.getrandbits(64))
 
         def call() -> None:
             if self.world.clock.now >= end:
                 return
-            host = self.rng.choice(names)
+            host = rng.choice(names)
             req = self.world.call(host, "s0", account, **extra)
             self.calls.setdefault(account, []).append(req)
             plan()
 
         def plan() -> None:
-            gap = self.rng.expovariate(rate) * MICROS_PER_SECOND
+            gap = rng.expovariate(rate) * MICROS_PER_SECOND
             self.world.clock.call_later(round(gap), call)
 
         plan()
--- a/tests/core/steering/test_ejection.py
+++ b/tests/core/steering/test_ejection.py
@@ -9,6 +9,7 @@
 
 from almondgap_core.settings import inventory
 from almondgap_core.steering import ejection
+from almondgap_core.steering.loads import measure_loads
 from almondgap_core.units import millis, seconds
 from almondgap_testkit.fleets import build_fleet_document
 from almondgap_testkit.pressure import (
@@ -72,6 +73,19 @@
         load.finish()
         self.assertGreater(len([at for at in target.started if at > seconds(30)]), 20)
 
+    def test_stuck_slots_of_an_ejected_target_do_not_make_the_others_seem_full(self):
+        world = build_world(domains=1, hosts=1, **FLEET)
+        world.targets["t0-0-0"].stalled = True
+        load = Pressure(world, random.Random(8))
+        load.add("c0", 40, seconds(6), ["h0"])
+        world.run(seconds(2.3))
+        self.assertEqual(self.count_ejected(world), 1)
+        state = world.hosts["h0"].state
+        self.assertEqual(state.slots.slots_used["t0-0-0"], 4)
+        (load,) = measure_loads(state, world.read_clock("h0"))
+        self.assertEqual(load.slots, 12)
+        self.assertLess(load.used, 4)
+
     def test_flapping_target_is_tried_ever_less_often(self):
         world = build_world(domains=1, hosts=1, **FLEET)
         target = world.targets["t0-0-0"]
