Bound idle connections so that all hosts together fit

Cause: each host kept up to 32 idle connections to each target; 400 hosts could hold 12,800 where a target takes about 400, and slots beyond a target's connections were handed out.

Ruled out: leases on connections (a message for each connection, to save what a bound saves); the same bound for all sizes (one idle connection each is too many at 400).

Change: a host keeps at most (connections - slots) divided by one and a half times the listed hosts and one more; with no room it keeps none. A lower bound closes what is idle first, since the library's pool compares for equality. No more slots are handed out than a target takes connections.

Conclusion: connections need no messages of their own.

--- a/packages/almondgap-core/almondgap_core/steering/ejection.py
+++ b/packages/almondgap-core/almondgap_core/steering/ejection.py
@@ -70,13 +70,14 @@
         return 0
     if view.ejected_until is not None:
         return 1 if now >= view.ejected_until else 0
+    most = min(target.slots, target.connections)
     if view.warm_since is None:
-        return target.slots
+        return most
     elapsed = now - view.warm_since
     if elapsed >= RAMP_US:
         view.warm_since = None
-        return target.slots
-    return max(1, target.slots * elapsed // RAMP_US)
+        return most
+    return max(1, most * elapsed // RAMP_US)
 
 
 def note_result(state, target: Target, result: SlotResult, held: int, now: int):
--- a/packages/almondgap-daemon/almondgap_daemon/callers.py
+++ b/packages/almondgap-daemon/almondgap_daemon/callers.py
@@ -6,7 +6,7 @@
 import io
 
 from klein import Klein
-from twisted.web.client import Agent, HTTPConnectionPool
+from twisted.web.client import Agent
 from twisted.web.server import Request, Site
 
 from almondgap_core.events import RequestArrived
@@ -16,12 +16,12 @@
 from almondgap_daemon.exchange import Exchange, write_refusal
 from almondgap_daemon.headers import KEY_HEADER, OPERATION_HEADER
 from almondgap_daemon.lookups import CallerResource, LookupResource
+from almondgap_daemon.pool import TargetPool
 
 #: Longest time that a caller can ask a request to take, in seconds.
 MAX_CALL_S = 600
 
 CONNECT_TIMEOUT_S = 1.0
-CONNECTIONS_PER_TARGET = 32
 CALL_PREFIX = b"/v1/call/"
 DIGEST_BYTES = 16
 
@@ -54,10 +54,10 @@
         self.node = node
         self.cfg = cfg
         self.pepper = cfg.pepper.encode()
-        pool = HTTPConnectionPool(node.reactor, persistent=True)
-        pool.maxPersistentPerHost = CONNECTIONS_PER_TARGET
-        pool.retryAutomatically = False
-        self.http = Agent(node.reactor, connectTimeout=CONNECT_TIMEOUT_S, pool=pool)
+        self.pool = TargetPool(node.reactor)
+        self.http = Agent(
+            node.reactor, connectTimeout=CONNECT_TIMEOUT_S, pool=self.pool.http
+        )
         self._count = 0
         self.lookups = LookupResource(node, self._next_id)
 
@@ -76,6 +76,7 @@
     @app.route("/v1/call/<service>/", branch=True)
     def call(self, request, service: str):
         """Serve a request for a service."""
+        self.pool.adjust(self.node.state)
         if request.too_long:
             detail = f"The body is longer than {self.cfg.body_limit} bytes."
             refusal = Refusal(413, Reason.BODY_TOO_LARGE, Verdict.NOT_RUN, detail)
--- a/tests/core/steering/test_slots_in_world.py
+++ b/tests/core/steering/test_slots_in_world.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+import json
 import random
 from unittest import TestCase
 
@@ -8,7 +9,10 @@
 
 from almondgap_core.units import millis, seconds
 from almondgap_core.verdict import Verdict
+from almondgap_testkit.fakes.world import World
+from almondgap_testkit.fleets import build_fleet_document, place_hosts
 from almondgap_testkit.pressure import (
+    SETTLE_US,
     Pressure,
     build_world,
     count_overloads,
@@ -79,6 +83,18 @@
             self.assertGreater(answer.refusal.retry_after, 0)
         self.assertEqual(target.overloads, 0)
 
+    def test_slots_beyond_the_connections_are_not_used(self):
+        document = build_fleet_document(1, slots=6)
+        document["services"]["s0"]["targets"][0]["connections"] = 2
+        world = World(json.dumps(document), place_hosts(1, 1))
+        world.run(SETTLE_US)
+        target = world.targets["t0-0-0"]
+        target.service_time = millis(500)
+        for _ in range(6):
+            world.call("h0", "s0", "c0")
+        world.run(millis(100))
+        self.assertEqual(target.running, 2)
+
     def test_slot_of_a_crashed_asker_is_busy_until_its_deadline(self):
         world = build_world(domains=2, hosts=2, slots=1)
         world.targets["t0-0-0"].stalled = True
