Release a lease as clean only with no slot in use

Ruled out: none; the check is one line in two places.

Change: both look at slots handed out again. A scenario stops an owner by plan while another host uses its slots, and the mutation that looks at callers only is caught.

Conclusion: no test held this rule before; one does now.

--- a/packages/almondgap-core/almondgap_core/limits/renewal.py
+++ b/packages/almondgap-core/almondgap_core/limits/renewal.py
@@ -127,7 +127,7 @@
 
 
 def _may_release(state: HostState) -> bool:
-    return state.lifecycle.may_release and not state.requests.open
+    return state.lifecycle.may_release and not state.is_busy
 
 
 def _note_time(state: HostState, now: int) -> None:
@@ -181,7 +181,7 @@
         lease.hold = min(lease.hold or HOLD_MAX_US, _choose_hold(witnesses))
         rows[partition] = _make_row(state, lease.epoch, lease.clean, witnesses)
     for partition, lease in _list_releasable(state, rows, placed, now):
-        clean = not state.requests.open and _is_clean(lease, now)
+        clean = not state.is_busy and _is_clean(lease, now)
         rows[partition] = evolve(rows[partition], released=True, clean=clean)
     for partition in _plan_takes(state, now):
         past = leases.watched[partition].row
--- a/tests/core/steering/test_slot_mutations.py
+++ b/tests/core/steering/test_slot_mutations.py
@@ -8,6 +8,7 @@
 
 from almondgap_core.events import CallerGone
 from almondgap_core.limits.leases import HeldLease
+from almondgap_core.state import HostState
 from almondgap_core.steering import ejection, ownership, seeking, slots, targets
 from almondgap_core.steering.results import SlotResult
 from almondgap_core.units import millis, seconds
@@ -34,6 +35,26 @@
     return count_overloads(world)
 
 
+def run_planned_stop() -> int:
+    """Stop an owner by plan while another host's requests use its slots."""
+    world = build_world(
+        domains=1,
+        hosts=2,
+        slots=1,
+        targets_per_domain=4,
+        deadline_ms=30_000,
+        open_to_all=True,
+    )
+    for target in world.targets.values():
+        target.service_time = seconds(25)
+    load = Pressure(world, random.Random(2))
+    load.add("anyone", 10, seconds(40), ["h1"])
+    world.run(seconds(3))
+    world.drain("h0")
+    world.run(seconds(40))
+    return count_overloads(world)
+
+
 def run_paused_owner() -> int:
     """Pause an owner until another host has taken its partitions, three times."""
     world = build_world(
@@ -79,7 +100,13 @@
     return count_overloads(world)
 
 
-SCENARIOS = (run_takeover, run_paused_owner, run_repeats, run_impatient_callers)
+SCENARIOS = (
+    run_takeover,
+    run_planned_stop,
+    run_paused_owner,
+    run_repeats,
+    run_impatient_callers,
+)
 
 
 class Forgetful(dict):
@@ -110,6 +137,11 @@
         ):
             self.assertGreater(run_takeover(), 0)
 
+    def test_lease_released_as_clean_with_slots_in_use_is_caught(self):
+        busy = property(lambda state: bool(state.requests.open))
+        with patch.object(HostState, "is_busy", busy):
+            self.assertGreater(run_planned_stop(), 0)
+
     def test_owner_that_does_not_check_its_lease_is_caught(self):
         with patch.object(ownership, "find_held", find_held_for_ever):
             self.assertGreater(run_paused_owner(), 0)
