--- a/packages/almondgap-cli/almondgap_cli/commands/account.py
+++ b/packages/almondgap-cli/almondgap_cli/commands/account.py
@@ -8,7 +8,7 @@
 import cappa
 from attrs import asdict, define
 
-from almondgap_cli.configuration import read_head
+from almondgap_cli.configuration import open_platform, read_head
 from almondgap_cli.options import Hosts, Output, Platform
 from almondgap_cli.running import run_command
 from almondgap_cli.web import fetch_json, make_url
@@ -17,7 +17,6 @@
 from almondgap_core.settings.inventory import Inventory
 from almondgap_core.settings.rollout import load_inventory
 from almondgap_core.units import MILLIS_PER_UNIT
-from almondgap_daemon.platform import open_place
 
 
 @cappa.command(name="list", help="List the client accounts.")
@@ -86,7 +85,7 @@
 
 
 async def _read_inventory(place: str) -> Inventory:
-    platform = open_place(place)
+    platform = open_platform(place)
     current = await read_head(platform)
     if current.head is None:
         raise UserError("no configuration has been applied")
--- a/packages/almondgap-cli/almondgap_cli/main.py
+++ b/packages/almondgap-cli/almondgap_cli/main.py
@@ -11,6 +11,7 @@
 from almondgap_cli.commands.drain import Drain
 from almondgap_cli.commands.histogram import Histogram
 from almondgap_cli.commands.lookup import Lookup
+from almondgap_cli.commands.map import Map
 from almondgap_cli.commands.replay import Replay
 from almondgap_cli.commands.status import Status
 
@@ -21,7 +22,7 @@
     """The command and its subcommands."""
 
     command: cappa.Subcommands[
-        Account | Apply | Check | Drain | Histogram | Lookup | Replay | Status
+        Account | Apply | Check | Drain | Histogram | Lookup | Map | Replay | Status
     ]
 
 
--- /dev/null
+++ b/packages/almondgap-core/almondgap_core/steering/ramp.py
@@ -0,0 +1,33 @@
+"""Ramp: targets that are new, or back from a drain, begin with little work."""
+
+from __future__ import annotations
+
+from almondgap_core.events import BodyFetched, Event, Tick
+from almondgap_core.state import HostState
+from almondgap_core.steering.slotbook import TargetView
+
+
+def note_version(state: HostState, event: BodyFetched | Tick) -> None:
+    """Mark targets as cold that a new configuration version brought.
+
+    The first version that a host has says nothing of which targets are new.
+    """
+    book = state.slots
+    if state.inventory is None or book.version == state.settings.version:
+        return
+    first = book.version == 0
+    book.version = state.settings.version
+    targets = state.inventory.targets.values()
+    active = frozenset(target.name for target in targets if not target.draining)
+    for name in book.known - active:
+        book.views.pop(name, None)
+    if not first:
+        for name in active - book.known:
+            book.views[name] = TargetView(warm_since=event.now)
+    book.known = active
+
+
+EVENT_HANDLERS: dict[type[Event], object] = {
+    BodyFetched: note_version,
+    Tick: note_version,
+}
--- a/packages/almondgap-daemon/almondgap_daemon/callers.py
+++ b/packages/almondgap-daemon/almondgap_daemon/callers.py
@@ -43,7 +43,7 @@
         pool.retryAutomatically = False
         self.http = Agent(node.reactor, connectTimeout=CONNECT_TIMEOUT_S, pool=pool)
         self._count = 0
-        self.lookups = LookupResource(node, self._next_id)
+        self.lookups = LookupResource(node, self.pepper, self._next_id)
 
     def make_site(self) -> CallerSite:
         """Return the site to listen with."""
@@ -54,7 +54,10 @@
     @app.route("/v1/lookup", methods=["GET", "HEAD"])
     def lookup(self, request):
         """Name the entry hosts for a service."""
-        return self.lookups.answer(request)
+        body = self.lookups.answer(request)
+        if body:
+            request.setHeader("Content-Length", str(len(body)))
+        return body
 
     @app.route("/v1/call/<path:rest>")
     def call(self, request, rest: str):
--- a/packages/almondgap-daemon/almondgap_daemon/main.py
+++ b/packages/almondgap-daemon/almondgap_daemon/main.py
@@ -73,7 +73,7 @@
     )
     life = make_lifecycle(process)
     operators = Site(OperatorApi(node, life.stop_requested).app.resource())
-    peers = PeerReceiverFactory(cfg, node.receive)
+    peers = PeerReceiverFactory(cfg, node.receive, node.links.meet)
     for factory, listener in (
         (callers, cfg.callers),
         (operators, cfg.operators),
--- a/packages/almondgap-daemon/almondgap_daemon/requests.py
+++ b/packages/almondgap-daemon/almondgap_daemon/requests.py
@@ -201,6 +201,9 @@
         self.stopping = False
         self._emptied: Deferred | None = None
 
+    def log(self, request) -> None:
+        """Write nothing: the line would be made for each request and thrown away."""
+
     def close_channels(self) -> Deferred:
         """Close all connections once what was written has left.
 
--- a/packages/almondgap-testkit/almondgap_testkit/fakes/transport.py
+++ b/packages/almondgap-testkit/almondgap_testkit/fakes/transport.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from attrs import define
+from twisted.internet.address import IPv4Address
 
 
 @define
@@ -20,6 +21,10 @@
         """Keep data."""
         self.written += data
 
+    def getPeer(self) -> IPv4Address:
+        """Return where the other side is."""
+        return IPv4Address("TCP", "127.0.0.1", 1)
+
     def loseConnection(self) -> None:
         """Note that the connection is closed."""
         self.disconnecting = True
--- a/tests/daemon/test_peers.py
+++ b/tests/daemon/test_peers.py
@@ -57,18 +57,21 @@
 def build_hello(cluster: str = CLUSTER, secret: str = SECRET) -> bytes:
     """Return the hello of another host."""
     proof = compute_proof(secret, cluster, "b-1", 7)
-    return frame(encode(Hello(cluster, "b-1", 7, proof)))
+    return frame(encode(Hello(cluster, "b-1", 7, proof, 8082)))
 
 
 class PeerReceiverTests(TestCase):
     def setUp(self):
         self.clock = Clock()
         self.heard = []
+        self.met = []
         self.open()
 
     def open(self):
         self.receiver = PeerReceiver(
-            PeerSettings(), lambda host, message: self.heard.append((host, message))
+            PeerSettings(),
+            lambda host, message: self.heard.append((host, message)),
+            lambda host, address, port: self.met.append((host, port)),
         )
         self.receiver.callLater = self.clock.callLater
         self.transport = RecordingTransport()
@@ -76,12 +79,13 @@
 
     def assert_refused(self):
         self.assertTrue(self.transport.disconnecting)
-        self.assertEqual(self.heard, [])
+        self.assertEqual((self.heard, self.met), ([], []))
 
     def test_peer_of_the_fleet_is_heard(self):
         message = Probe(3)
         self.receiver.dataReceived(build_hello() + frame(encode(message)))
         self.assertEqual(self.heard, [("b-1", message)])
+        self.assertEqual(self.met, [("b-1", 8082)])
         self.clock.advance(HELLO_TIMEOUT_S * 10)
         self.assertFalse(self.transport.disconnecting)
 
--- a/tests/daemon/test_tls.py
+++ b/tests/daemon/test_tls.py
@@ -138,7 +138,7 @@
     def _say_hello(self, pair: Pair) -> ssl.SSLSocket:
         cfg = self.fleet.settings[FIRST]
         proof = compute_proof(cfg["peer_secret"], cfg["cluster"], SECOND, 1)
-        hello = encode(Hello(cfg["cluster"], SECOND, 1, proof))
+        hello = encode(Hello(cfg["cluster"], SECOND, 1, proof, 8082))
         conn = self.open(self._peer_place(), pair)
         conn.settimeout(1.0)
         conn.sendall(struct.pack("!I", len(hello)) + hello)
