--- a/packages/almondgap-cli/almondgap_cli/configuration.py
+++ b/packages/almondgap-cli/almondgap_cli/configuration.py
@@ -4,6 +4,7 @@
 
 import getpass
 from datetime import UTC, datetime
+from pathlib import Path
 
 from attrs import frozen
 
@@ -11,6 +12,7 @@
     AlmondgapError,
     ConflictError,
     PlatformUnavailable,
+    UserError,
 )
 from almondgap_core.platform import (
     Row,
@@ -19,10 +21,25 @@
 )
 from almondgap_core.settings.head import HEAD, Head, plan_head_change
 from almondgap_daemon.platform import Platform
+from almondgap_daemon.platform.folder import FolderPlatform
+from almondgap_daemon.platform.http import HttpPlatform
 
 READ_BACK_ATTEMPTS = 5
 
 
+def open_platform(place: str) -> Platform:
+    """Return the platform at ``address:port``, or in the folder of that path.
+
+    :raises UserError: the place is neither.
+    """
+    if "/" in place or Path(place).is_dir():
+        return FolderPlatform(Path(place))
+    address, _, port = place.rpartition(":")
+    if not address or not port.isdigit():
+        raise UserError(f"platform {place!r}: expected ADDRESS:PORT or a folder's path")
+    return HttpPlatform(f"http://{place}")
+
+
 @frozen
 class CurrentHead:
     """The head and the version of its row.
