Let operators issue, rotate and withdraw keys, wait for a rollout and go back

Cause: keys and configurations could only be changed by editing and applying a file; nobody was told when, and where not, a change was in force; support could not ask what became of a payment.

Ruled out: rewriting the inventory as plain JSON for a new key (its comments would be lost); asking hosts in rounds (a host that hangs kept the others from being reported: seen in a test with a stopped process, mended by following each host alone).

A change whose answer was lost and that another operator replaced at once is found in the history.

Conclusion: an operator sees what happened, and what did not.

--- a/packages/almondgap-cli/almondgap_cli/configuration.py
+++ b/packages/almondgap-cli/almondgap_cli/configuration.py
@@ -3,21 +3,32 @@
 from __future__ import annotations
 
 import getpass
+from collections.abc import Callable
 from datetime import UTC, datetime
 
 from attrs import frozen
 
 from almondgap_core.exceptions import (
     AlmondgapError,
+    ConfigurationError,
     ConflictError,
     PlatformUnavailable,
 )
 from almondgap_core.platform import (
     Row,
+    RowKey,
     Transaction,
     TransactionOutcome,
 )
-from almondgap_core.settings.head import HEAD, Head, plan_head_change
+from almondgap_core.settings.head import (
+    CONFIG_TABLE,
+    HEAD,
+    HISTORY_PREFIX,
+    Head,
+    make_history_key,
+    plan_head_change,
+)
+from almondgap_core.settings.rollout import load_inventory
 from almondgap_daemon.platform.http import HttpPlatform
 
 READ_BACK_ATTEMPTS = 5
@@ -92,6 +103,8 @@
             continue
         if found.head == head:
             return head
+        if found.version > head.version and await _was_accepted(platform, head):
+            return head
         if found.row_version == based_on.row_version:
             raise PlatformUnavailable("the change did not take effect")
         raise _make_conflict(found, based_on.version)
@@ -101,6 +114,57 @@
     )
 
 
+async def change_body(
+    platform: HttpPlatform, edit: Callable[[str], str], note: str
+) -> Head:
+    """Make the current body, changed by ``edit``, the current configuration.
+
+    :raises ConflictError: another operator changed it at the same time.
+    :raises ConfigurationError: the body cannot be edited so, or is faulty then.
+    """
+    current = await read_head(platform)
+    if current.head is None:
+        raise ConfigurationError("there is no configuration yet")
+    text = (await platform.get(current.head.body)).decode()
+    edited = edit(text)
+    load_inventory(edited, "changed configuration")
+    return await move_head(platform, edited.encode(), current.version, note)
+
+
+async def read_history(platform: HttpPlatform) -> list[Head]:
+    """Return all accepted changes, the oldest first."""
+    rows = await platform.scan(CONFIG_TABLE, HISTORY_PREFIX)
+    return [Head.from_text(row.value) for row in rows]
+
+
+async def read_body(platform: HttpPlatform, version: int) -> bytes:
+    """Return the body of a version.
+
+    :raises ConfigurationError: there was no such version.
+    """
+    head = await _read_change(platform, version)
+    if head is None:
+        raise ConfigurationError(f"there is no version {version}")
+    return await platform.get(head.body)
+
+
+async def _read_change(platform: HttpPlatform, version: int) -> Head | None:
+    key = RowKey(CONFIG_TABLE, make_history_key(version))
+    result = await platform.transact(Transaction(reads=(key,)))
+    if result.outcome is not TransactionOutcome.COMMITTED:
+        raise PlatformUnavailable(f"version {version} could not be read")
+    value = result.rows[0].value
+    return None if value is None else Head.from_text(value)
+
+
+async def _was_accepted(platform: HttpPlatform, head: Head) -> bool:
+    """Return whether a change took effect before another one replaced it."""
+    try:
+        return await _read_change(platform, head.version) == head
+    except PlatformUnavailable:
+        return False
+
+
 def _make_conflict(current: CurrentHead, expected: int) -> ConflictError:
     if current.head is None:
         return ConflictError(f"expected version {expected}, but there is none")
--- a/packages/almondgap-cli/almondgap_cli/main.py
+++ b/packages/almondgap-cli/almondgap_cli/main.py
@@ -7,8 +7,13 @@
 
 from almondgap_cli.commands.apply import Apply
 from almondgap_cli.commands.check import Check
+from almondgap_cli.commands.diff import Diff
+from almondgap_cli.commands.history import History
+from almondgap_cli.commands.keys import Keys
 from almondgap_cli.commands.lookup import Lookup
+from almondgap_cli.commands.operation import Operation
 from almondgap_cli.commands.replay import Replay
+from almondgap_cli.commands.rollback import Rollback
 from almondgap_cli.commands.status import Status
 
 
@@ -17,7 +22,18 @@
 class Almondgap:
     """The command and its subcommands."""
 
-    command: cappa.Subcommands[Apply | Check | Lookup | Replay | Status]
+    command: cappa.Subcommands[
+        Apply
+        | Check
+        | Diff
+        | History
+        | Keys
+        | Lookup
+        | Operation
+        | Replay
+        | Rollback
+        | Status
+    ]
 
 
 def main() -> None:
--- a/packages/almondgap-cli/almondgap_cli/running.py
+++ b/packages/almondgap-cli/almondgap_cli/running.py
@@ -12,6 +12,7 @@
 
 EXIT_ERROR = 1
 EXIT_CONFLICT = 3
+EXIT_MISSING = 4
 
 
 def run_command(work: Callable[..., Any], *args: Any) -> None:
--- /dev/null
+++ b/packages/almondgap-core/almondgap_core/operations/inquiry.py
@@ -0,0 +1,60 @@
+"""Inquiry: what a host can say of an operation."""
+
+from __future__ import annotations
+
+from attrs import frozen
+
+from almondgap_core.limits import leases
+from almondgap_core.operations.key import OperationKey
+from almondgap_core.operations.record import Progress
+from almondgap_core.state import HostState
+from almondgap_core.verdict import Verdict
+
+
+@frozen
+class KnownOperation:
+    """What a host knows of an operation.
+
+    :ivar known_by: host that keeps the record, or that is taken for its holder.
+    :ivar recorded: whether the host that was asked keeps a record of it.
+    :ivar verdict: whether the operation ran, as far as the record says.
+    :ivar permits: permits given so far; at most one of them was used.
+    :ivar status: status of the first answer, 0 without one.
+    """
+
+    key: str
+    partition: str
+    epoch: int
+    known_by: str
+    recorded: bool
+    verdict: Verdict
+    account: str = ""
+    permits: int = 0
+    status: int = 0
+
+
+def inquire(state: HostState, key: OperationKey, now: int) -> KnownOperation:
+    """Return what this host knows of an operation."""
+    prefix = key.prefix
+    place = (str(key), str(prefix.partition), prefix.epoch)
+    book = state.operations.books.get((prefix.partition, prefix.epoch))
+    if book is None or book.sealed:
+        holder = leases.find_holder(state, prefix.partition) or ""
+        return KnownOperation(*place, holder, False, Verdict.MAY_HAVE_RUN)
+    record = book.find(prefix.window, key.unique)
+    if record is None:
+        forgotten = prefix.window <= book.forgotten
+        verdict = Verdict.MAY_HAVE_RUN if forgotten else Verdict.NOT_RUN
+        return KnownOperation(*place, state.host, False, verdict)
+    verdict = {Progress.FREE: Verdict.NOT_RUN, Progress.RAN: Verdict.RAN}.get(
+        record.progress, Verdict.MAY_HAVE_RUN
+    )
+    return KnownOperation(
+        *place,
+        state.host,
+        True,
+        verdict,
+        record.account,
+        record.permits,
+        record.status,
+    )
--- a/packages/almondgap-core/almondgap_core/settings/head.py
+++ b/packages/almondgap-core/almondgap_core/settings/head.py
@@ -12,6 +12,9 @@
 CONFIG_TABLE = "config"
 HEAD = RowKey(CONFIG_TABLE, "head")
 
+#: Start of the keys of rows that keep accepted changes.
+HISTORY_PREFIX = "history/"
+
 
 @frozen
 class Head:
@@ -48,7 +51,7 @@
 
 def make_history_key(version: int) -> str:
     """Return the key of the row that keeps one accepted change."""
-    return f"history/{version:010d}"
+    return f"{HISTORY_PREFIX}{version:010d}"
 
 
 def plan_head_change(head: Head, row_version: int) -> Transaction:
--- a/packages/almondgap-daemon/almondgap_daemon/callers.py
+++ b/packages/almondgap-daemon/almondgap_daemon/callers.py
@@ -4,6 +4,7 @@
 
 import hashlib
 import io
+import json
 
 from klein import Klein
 from twisted.web.client import Agent, HTTPConnectionPool
@@ -73,6 +74,18 @@
         """Name the entry hosts for a service."""
         return self.lookups.answer(request)
 
+    @app.route("/v1/version")
+    def version(self, request):
+        """Tell which configuration version is in force, and why no newer is."""
+        settings = self.node.state.settings
+        body = {
+            "host": self.cfg.host,
+            "version": settings.version,
+            "rejected": settings.rejected,
+        }
+        request.setHeader("Content-Type", "application/json")
+        return json.dumps(body).encode() + b"\n"
+
     @app.route("/v1/call/<service>/", branch=True)
     def call(self, request, service: str):
         """Serve a request for a service."""
--- a/packages/almondgap-daemon/almondgap_daemon/operators.py
+++ b/packages/almondgap-daemon/almondgap_daemon/operators.py
@@ -4,9 +4,12 @@
 
 import json
 
+from attrs import asdict
 from klein import Klein
 
 from almondgap_core.events import DrainRequested
+from almondgap_core.operations.inquiry import inquire
+from almondgap_core.operations.key import OperationKey
 
 
 class OperatorApi:
@@ -57,6 +60,17 @@
         body = {"latency": self.node.metrics.summarize(), "counts": counts}
         return _answer(request, body)
 
+    @app.route("/v1/operation")
+    def operation(self, request):
+        """Tell what this host knows of an operation."""
+        text = request.args.get(b"key", [b""])[0].decode(errors="replace")
+        key = OperationKey.from_text(text)
+        if key is None:
+            request.setResponseCode(404)
+            return _answer(request, {"error": "no look-up has given this key's prefix"})
+        known = inquire(self.node.state, key, self.node.now())
+        return _answer(request, {**asdict(known), "verdict": known.verdict.value})
+
     @app.route("/v1/drain", methods=["POST"])
     def drain(self, request):
         """Begin the planned stop."""
--- a/tests/daemon/test_fleet.py
+++ b/tests/daemon/test_fleet.py
@@ -16,11 +16,19 @@
 KEY = "agk_citytowers_example-secret-of-city-towers"
 
 
-def call(url: str, key: str | None = KEY, method: str = "GET", label: str = ""):
+def call(
+    url: str,
+    key: str | None = KEY,
+    method: str = "GET",
+    label: str = "",
+    operation: str | None = None,
+):
     """Return status, headers and body of a caller's request."""
     headers = {"X-Label": label}
     if key is not None:
         headers["Almondgap-Key"] = key
+    if operation is not None:
+        headers["Idempotency-Key"] = operation
     request = urllib.request.Request(url, headers=headers, method=method)
     try:
         with urllib.request.urlopen(request, timeout=10) as response:
