--- a/packages/almondgap-cli/almondgap_cli/main.py
+++ b/packages/almondgap-cli/almondgap_cli/main.py
@@ -11,6 +11,7 @@
 from almondgap_cli.commands.history import History
 from almondgap_cli.commands.keys import Keys
 from almondgap_cli.commands.lookup import Lookup
+from almondgap_cli.commands.map import Map
 from almondgap_cli.commands.operation import Operation
 from almondgap_cli.commands.replay import Replay
 from almondgap_cli.commands.rollback import Rollback
@@ -29,6 +30,7 @@
         | History
         | Keys
         | Lookup
+        | Map
         | Operation
         | Replay
         | Rollback
--- a/packages/almondgap-core/almondgap_core/lifecycle.py
+++ b/packages/almondgap-core/almondgap_core/lifecycle.py
@@ -45,7 +45,7 @@
         _drain(state, event.now)
     elif stage is Stage.MOVING:
         _move(state, event.now)
-    elif not state.requests.open and is_handed_over(state, event.now):
+    elif not state.is_busy and is_handed_over(state, event.now):
         _stop(state, event.now)
 
 
--- a/packages/almondgap-core/almondgap_core/reducer.py
+++ b/packages/almondgap-core/almondgap_core/reducer.py
@@ -8,14 +8,30 @@
 from almondgap_core.effects import Effect
 from almondgap_core.events import Event, PeerMessage
 from almondgap_core.keys import trust
-from almondgap_core.limits import admission, notices, renewal
+from almondgap_core.limits import (
+    admission,
+    borrowing,
+    granting,
+    lending,
+    notices,
+    outage,
+    renewal,
+)
 from almondgap_core.membership import directory, heartbeats
 from almondgap_core.messages import Message
 from almondgap_core.operations import asking, books, handover, holder, minting
 from almondgap_core.requests import flow
 from almondgap_core.settings import neighbours, rollout
 from almondgap_core.state import HostState
-from almondgap_core.steering import clientmap_rollout, lookup, plan_rollout, targets
+from almondgap_core.steering import (
+    clientmap_rollout,
+    lookup,
+    ownership,
+    plan_rollout,
+    ramp,
+    seeking,
+    slots,
+)
 
 EventHandler = Callable[[HostState, Event], None]
 MessageHandler = Callable[[HostState, str, Message, int], None]
@@ -28,7 +44,10 @@
     trust,
     clientmap_rollout,
     renewal,
+    outage,
     notices,
+    lending,
+    borrowing,
     books,
     handover,
     minting,
@@ -36,7 +55,10 @@
     plan_rollout,
     lookup,
     admission,
-    targets,
+    ownership,
+    ramp,
+    slots,
+    seeking,
     flow,
     lifecycle,
 )
@@ -48,10 +70,17 @@
     neighbours,
     trust,
     notices,
+    outage,
+    lending,
+    borrowing,
+    granting,
+    admission,
     holder,
     asking,
     handover,
     minting,
+    slots,
+    seeking,
 )
 
 
--- a/packages/almondgap-core/almondgap_core/state.py
+++ b/packages/almondgap-core/almondgap_core/state.py
@@ -16,6 +16,7 @@
 from almondgap_core.settings.inventory import Inventory
 from almondgap_core.settings.state import SettingsState
 from almondgap_core.stages import LifecycleState
+from almondgap_core.steering.slotbook import SlotsState
 from almondgap_core.steering.state import SteeringState
 
 
@@ -45,6 +46,7 @@
     limits: LimitsState = Factory(LimitsState)
     operations: OperationsState = Factory(OperationsState)
     steering: SteeringState = Factory(SteeringState)
+    slots: SlotsState = Factory(SlotsState)
     requests: RequestsState = Factory(RequestsState)
     pending: deque[Event] = Factory(deque)
     effects: list[Effect] = Factory(list)
@@ -54,6 +56,11 @@
         """The inventory in force, or None before the first."""
         return self.settings.inventory
 
+    @property
+    def is_busy(self) -> bool:
+        """Whether a caller's request or a slot that was handed out is not over."""
+        return bool(self.requests.open or self.slots.grants)
+
     def emit(self, event: Event) -> None:
         """Queue an internal event; the reducer handles it in the same step."""
         self.pending.append(event)
--- a/tests/cli/test_configuration.py
+++ b/tests/cli/test_configuration.py
@@ -56,6 +56,11 @@
         with self.assertRaisesRegex(ConflictError, "version 1 at .*the first"):
             wait(move_head(platform, b"{}", 0, "the second"))
 
+    def test_operator_who_was_overtaken_hears_of_the_other(self):
+        platform = FaultyPlatform(faults=["before"])
+        with self.assertRaisesRegex(ConflictError, "version 1 at .*x"):
+            wait(move_head(platform, b"{}", None, "mine"))
+
     def test_change_that_was_replaced_at_once_counts_as_made(self):
         platform = FaultyPlatform(faults=["after"])
         head = wait(move_head(platform, b"{}", None, "mine"))
