--- a/tests/core/operations/test_handover.py
+++ b/tests/core/operations/test_handover.py
@@ -65,6 +65,17 @@
             self.assertEqual(payments.count_runs("q"), 1)
             self.assertIsNot(early.verdict, Verdict.NOT_RUN)
 
+    def test_open_book_serves_between_two_leases(self):
+        with Payments.begin() as payments:
+            payments.run(6)
+            prefix = payments.look_up("a-1")
+            payments.leases.give(self.find_partition(payments, prefix), None)
+            near = payments.answer(payments.pay("a-1", f"{prefix}.p", "p"))
+            far = payments.answer(payments.pay("a-2", f"{prefix}.q", "q"))
+            payments.run(3)
+            self.assertIs(near.verdict, Verdict.RAN)
+            self.assertIs(far.verdict, Verdict.RAN)
+
     def test_book_comes_back_to_an_earlier_holder(self):
         with Payments.begin() as payments:
             payments.begin_payment("a-1", "p")
