--- a/packages/almondgap-core/almondgap_core/operations/minting.py
+++ b/packages/almondgap-core/almondgap_core/operations/minting.py
@@ -51,7 +51,7 @@
     """Remember a prefix that another host holds."""
     partition = Partition(message.failure_domain, message.index)
     prefix = OperationPrefix(partition, message.epoch, message.window)
-    state.operations.hints[partition] = Hint(prefix, now)
+    state.operations.hints[partition] = Hint(host, prefix, now)
 
 
 def _list_own(state: HostState, now: int) -> list[OperationPrefix]:
--- a/packages/almondgap-daemon/almondgap_daemon/callers.py
+++ b/packages/almondgap-daemon/almondgap_daemon/callers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import hashlib
+import json
 
 from klein import Klein
 from twisted.web.client import Agent
@@ -59,6 +60,18 @@
             request.setHeader("Content-Length", str(len(body)))
         return body
 
+    @app.route("/v1/version")
+    def version(self, request):
+        """Tell which configuration version is in force, and why no newer is."""
+        settings = self.node.state.settings
+        body = {
+            "host": self.cfg.host,
+            "version": settings.version,
+            "rejected": settings.rejected,
+        }
+        request.setHeader("Content-Type", "application/json")
+        return json.dumps(body).encode() + b"\n"
+
     @app.route("/v1/call/<path:rest>")
     def call(self, request, rest: str):
         """Serve a request for a service."""
--- a/tests/core/keys/test_trust.py
+++ b/tests/core/keys/test_trust.py
@@ -7,8 +7,14 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from almondgap_core.effects import SendMessage
+from almondgap_core.events import PeerMessage, Tick
+from almondgap_core.keys.messages import EvidenceAnswer, EvidenceAsk
+from almondgap_core.keys.trust import may_trust
+from almondgap_core.reducer import step
 from almondgap_core.units import seconds
 from almondgap_core.verdict import Reason, Verdict
+from almondgap_testkit.builders import build_entry, build_state
 from almondgap_testkit.fakes.network import PLATFORM
 from almondgap_testkit.fakes.withdrawals import (
     BOUND_S,
@@ -173,3 +179,39 @@
     elif fault == "slow" and one != other:
         network.slow[frozenset((one, other))] = seconds(duration)
     fleet.run(duration)
+
+
+class EvidenceTests(TestCase):
+    def setUp(self):
+        self.state = build_state()
+        self.state.settings.examined = 3
+        self.state.keys.confirmed = None
+        self.state.members.listed["b-1"] = build_entry("b-1", "b")
+        effects = step(self.state, Tick(0))
+        asks = [e.message for e in effects if isinstance(e, SendMessage)]
+        (self.ask,) = [ask for ask in asks if isinstance(ask, EvidenceAsk)]
+
+    def answer(self, at: int, version: int = 3, age: int = 0, number: int = 0) -> None:
+        number = number or self.ask.number
+        answer = EvidenceAnswer(number, version, age, 0)
+        step(self.state, PeerMessage(at, "b-1", answer))
+
+    def test_age_counts_from_the_question(self):
+        self.answer(at=seconds(100), age=seconds(2))
+        self.assertEqual(self.state.keys.confirmed, -seconds(2))
+        self.assertFalse(may_trust(self.state, seconds(100)))
+
+    def test_answer_counts_once(self):
+        self.answer(at=1)
+        self.state.keys.confirmed = None
+        self.answer(at=2)
+        self.assertIsNone(self.state.keys.confirmed)
+
+    def test_other_versions_and_numbers_are_no_evidence(self):
+        self.answer(at=1, number=77)
+        self.answer(at=1, version=4)
+        self.assertIsNone(self.state.keys.confirmed)
+
+    def test_answerer_without_evidence_gives_none(self):
+        self.answer(at=1, age=-1)
+        self.assertIsNone(self.state.keys.confirmed)
