--- a/packages/almondgap-cli/almondgap_cli/main.py
+++ b/packages/almondgap-cli/almondgap_cli/main.py
@@ -7,6 +7,7 @@
 
 from almondgap_cli.commands.apply import Apply
 from almondgap_cli.commands.check import Check
+from almondgap_cli.commands.headroom import Headroom
 from almondgap_cli.commands.lookup import Lookup
 from almondgap_cli.commands.map import Map
 from almondgap_cli.commands.replay import Replay
@@ -18,7 +19,9 @@
 class Almondgap:
     """The command and its subcommands."""
 
-    command: cappa.Subcommands[Apply | Check | Lookup | Map | Replay | Status]
+    command: cappa.Subcommands[
+        Apply | Check | Headroom | Lookup | Map | Replay | Status
+    ]
 
 
 def main() -> None:
--- a/packages/almondgap-core/almondgap_core/steering/clientmap.py
+++ b/packages/almondgap-core/almondgap_core/steering/clientmap.py
@@ -19,10 +19,12 @@
 CHUNK_RANGES = 2_048
 
 _LOW_64 = 2**64 - 1
+_GROUP_BITS = 16
+_GROUP = 1 << _GROUP_BITS
 _MAPPED_PREFIX = 0xFFFF
 _HEXTETS = 8
-_HEXTET_DIGITS = 4
-_IPV6_BYTES = 16
+_PADDED_HEXTETS = "%4s" * _HEXTETS
+_IPV6_DIGITS = 32
 _OCTETS = {str(number): number for number in range(256)}
 
 
@@ -55,6 +57,8 @@
 class NarrowStarts:
     """First addresses of ranges in 32 bits each."""
 
+    __slots__ = ("values",)
+
     def __init__(self, values: Iterable[int]) -> None:
         self.values = array("I", values)
 
@@ -76,6 +80,8 @@
 class WideStarts:
     """First addresses of ranges in twice 64 bits each."""
 
+    __slots__ = ("high", "low")
+
     def __init__(self, values: Iterable[int]) -> None:
         values = list(values)
         self.high = array("Q", [value >> 64 for value in values])
@@ -142,19 +148,40 @@
     that every address lies in exactly one range.
 
     :ivar bounds: first address of each chunk.
+    :ivar starts16: for IPv4, the chunk in which each group of 2 ** 16 addresses begins.
     """
 
     family: Family
     bounds: Sequence[int]
     chunks: list[Chunk]
+    starts16: array
 
     @classmethod
     def from_chunks(cls, family: Family, chunks: list[Chunk]) -> FamilyTable:
         """Return the table of these chunks."""
         bounds = [chunk.starts[0] for chunk in chunks]
-        if family is Family.IPV4:
-            return cls(family, array("I", bounds), chunks)
-        return cls(family, bounds, chunks)
+        if family is Family.IPV6:
+            return cls(family, bounds, chunks, array("I"))
+        starts16 = array("I")
+        for index, end in enumerate((*bounds[1:], family.end)):
+            groups = -(-end // _GROUP) - len(starts16)
+            starts16.extend(array("I", [index]) * groups)
+        starts16.append(len(bounds) - 1)
+        return cls(family, array("I", bounds), chunks, starts16)
+
+    def copy(self) -> FamilyTable:
+        """Return a table that shares the chunks, which may be replaced."""
+        return FamilyTable(self.family, self.bounds, list(self.chunks), self.starts16)
+
+    def find_ipv4(self, address: int) -> int:
+        """Return what :meth:`find` does, faster, in a table of IPv4 ranges."""
+        group = address >> _GROUP_BITS
+        at = self.starts16[group]
+        end = self.starts16[group + 1]
+        if at != end:
+            at = bisect_right(self.bounds, address, at, end + 1) - 1
+        chunk = self.chunks[at]
+        return chunk.sites[bisect_right(chunk.starts.values, address) - 1]
 
     @classmethod
     def from_pairs(
@@ -208,10 +235,7 @@
         :raises ValueError: the text is no IP number.
         """
         if ":" not in address:
-            number = parse_ipv4(address)
-            table = self.ipv4
-            chunk = table.chunks[bisect_right(table.bounds, number) - 1]
-            site = chunk.sites[bisect_right(chunk.starts.values, number) - 1]
+            site = self.ipv4.find_ipv4(parse_ipv4(address))
         else:
             family, number = parse_address(address)
             site = self.get_table(family).find(number)
@@ -255,16 +279,24 @@
     """
     if "." in text:
         return int(IPv6Address(text))
+    parts = text.split(":")
+    if len(parts) != _HEXTETS or "" in parts:
+        parts = _expand(text)
+    digits = (_PADDED_HEXTETS % tuple(parts)).replace(" ", "0")
+    if len(digits) != _IPV6_DIGITS or " " in text:
+        raise ValueError(f"{text[:60]!r} is no IP number")
+    value = bytes.fromhex(digits)
+    if len(value) * 2 != _IPV6_DIGITS:
+        raise ValueError(f"{text[:60]!r} is no IP number")
+    return int.from_bytes(value, "big")
+
+
+def _expand(text: str) -> list[str]:
+    """Return the parts of an IPv6 number, with zeros in the place of ``::``."""
     head, gap, tail = text.partition("::")
     first = head.split(":") if head else []
     last = tail.split(":") if tail else []
     missing = _HEXTETS - len(first) - len(last)
-    parts = [*first, *["0"] * missing, *last]
-    fits = missing > 0 if gap else missing == 0
-    if not fits or "" in parts or max(map(len, parts)) > _HEXTET_DIGITS:
+    if not gap or missing < 1 or "" in first or "" in last:
         raise ValueError(f"{text[:60]!r} is no IP number")
-    digits = "".join([part.rjust(_HEXTET_DIGITS, "0") for part in parts])
-    value = bytes.fromhex(digits)
-    if len(value) != _IPV6_BYTES:
-        raise ValueError(f"{text[:60]!r} is no IP number")
-    return int.from_bytes(value, "big")
+    return [*first, *["0"] * missing, *last]
--- a/packages/almondgap-core/almondgap_core/steering/clientmap_delta.py
+++ b/packages/almondgap-core/almondgap_core/steering/clientmap_delta.py
@@ -110,9 +110,8 @@
         steps = []
         for family in Family:
             table = old.get_table(family)
-            copy = FamilyTable(family, table.bounds, list(table.chunks))
-            tables[family] = copy
-            steps += _split(copy, delta.changes.get(family, ()))
+            tables[family] = table.copy()
+            steps += _split(table, delta.changes.get(family, ()))
         steps.reverse()
         return cls(delta, tables, steps)
 
--- a/packages/almondgap-core/almondgap_core/steering/lookup.py
+++ b/packages/almondgap-core/almondgap_core/steering/lookup.py
@@ -98,24 +98,20 @@
 def _find_prepared(
     state: HostState, service: str, address: str | None, now: int
 ) -> PreparedLookup:
-    site = _find_site(state, address)
-    prepared = state.steering.prepared.get((service, site))
+    steering = state.steering
+    site = None
+    if steering.client_map is not None and address is not None:
+        try:
+            site = steering.client_map.find_site(address)
+        except ValueError:
+            site = None
+    prepared = steering.prepared.get((service, site))
     if prepared is None:
         prepared = _prepare(state, service, site, now)
-        state.steering.prepared[service, site] = prepared
+        steering.prepared[service, site] = prepared
     return prepared
 
 
-def _find_site(state: HostState, address: str | None) -> str | None:
-    client_map = state.steering.client_map
-    if client_map is None or address is None:
-        return None
-    try:
-        return client_map.find_site(address)
-    except ValueError:
-        return None
-
-
 def _find_account(state: HostState, service: str, credential: Credential | None) -> str:
     inventory = state.inventory
     found = authorize(inventory, inventory.services[service], credential)
--- a/packages/almondgap-daemon/almondgap_daemon/operators.py
+++ b/packages/almondgap-daemon/almondgap_daemon/operators.py
@@ -4,9 +4,11 @@
 
 import json
 
+from attrs import asdict
 from klein import Klein
 
 from almondgap_core.events import DrainRequested
+from almondgap_core.steering.headroom import describe_headroom
 
 
 class OperatorApi:
@@ -45,6 +47,15 @@
             request.setResponseCode(503)
         return _answer(request, {"ready": ready})
 
+    @app.route("/v1/headroom")
+    def headroom(self, request):
+        """Tell what each region can still take, as far as this host knows."""
+        state = self.node.state
+        regions = []
+        if state.inventory is not None:
+            regions = describe_headroom(state, self.node.now())
+        return _answer(request, {"regions": [asdict(entry) for entry in regions]})
+
     @app.route("/v1/histograms")
     def histograms(self, request):
         """Give latency percentiles and counts per client account."""
--- a/tests/core/steering/test_plan_rollout.py
+++ b/tests/core/steering/test_plan_rollout.py
@@ -3,7 +3,11 @@
 import json
 from unittest import TestCase
 
+from attrs import asdict
+
+from almondgap_cli.commands.headroom import describe_region
 from almondgap_core.exceptions import LookupRefused
+from almondgap_core.steering.headroom import describe_headroom
 from almondgap_core.steering.lookup import look_up_body
 from almondgap_core.steering.plan import REFUSED, SHARE_UNIT
 from almondgap_core.steering.plan_rollout import rank_domains
@@ -67,6 +71,20 @@
         self.run_callers(150)
         self.assertEqual(self.find_shares("n-1", "west"), {"west": SHARE_UNIT})
 
+    def test_headroom_tells_what_is_lost(self):
+        self.world.network.isolate("west-a")
+        self.world.run(seconds(20))
+        state = self.world.hosts["s-1"].state
+        found = describe_headroom(state, self.world.read_clock("s-1"))
+        told = {entry.region: (entry.standing, entry.capacity) for entry in found}
+        expected = {"north": ("fresh", 1000), "south": ("fresh", 1000)}
+        self.assertEqual(told, {**expected, "west": ("lost", 0)})
+        slots = {entry.region: entry.slots for entry in found}
+        self.assertEqual(slots, {"north": 400, "south": 400, "west": 0})
+        lines = [describe_region(asdict(entry)) for entry in found]
+        self.assertIn("0 of 1000 requests/s (shifts stop at 800)", lines[0])
+        self.assertEqual(lines[2], "west: lost, no report")
+
     def test_domains_are_ranked_own_first_and_old_last(self):
         state = self.world.hosts["s-1"].state
         now = self.world.read_clock("s-1")
