Look a lease up before asking whether it is to be released

Cause: tests that decree leases hold partitions that are not among the host's own, and find_lendable then failed with a KeyError in 25 tests.

Change: a lease that is not the host's own is not lendable.

--- a/packages/almondgap-core/almondgap_core/limits/leases.py
+++ b/packages/almondgap-core/almondgap_core/limits/leases.py
@@ -53,10 +53,10 @@
     Shares of rates stop being used and lent first, so that loans can run out while the
     holder still answers for slots and operations.
     """
-    lease = find_held(state, partition, now)
-    if lease is None or state.limits.leases.own[partition].leaving is not None:
+    own = state.limits.leases.own.get(partition)
+    if own is None or own.leaving is not None:
         return None
-    return lease
+    return find_held(state, partition, now)
 
 
 def find_holder(state: HostState, partition: Partition) -> str | None:
