Number runs in milliseconds, so that messages about slots can be sent

Cause: a run's number was in microseconds; times the 2^20 asks of a run it needs 71 bits, and msgpack packs 64. On real processes no message about a slot of another host left the host, requests waited for their whole deadline, and only a log line told. Virtual hosts start with small numbers, so no test saw it.

Change: runs are numbered in milliseconds (61 bits with the count); what cannot be packed is named in the error; the demo judges that no host logs a fault of its own, and fails on the first.

Conclusion: whatever is numbered from a run has to be tried with a real run's number.

--- a/packages/almondgap-core/almondgap_core/messages.py
+++ b/packages/almondgap-core/almondgap_core/messages.py
@@ -86,9 +86,15 @@
 
 
 def encode(message: Message) -> bytes:
-    """Return the bytes of a message."""
+    """Return the bytes of a message.
+
+    :raises MessageError: a value cannot be packed, such as an integer beyond 64 bits.
+    """
     values = attrs.astuple(message, recurse=False)
-    return msgpack.packb([message.kind, *values], use_bin_type=True)
+    try:
+        return msgpack.packb([message.kind, *values], use_bin_type=True)
+    except (OverflowError, TypeError, ValueError) as exc:
+        raise MessageError(f"{message!r}: {exc}") from exc
 
 
 def decode(data: bytes) -> Message:
--- a/packages/almondgap-daemon/almondgap_daemon/main.py
+++ b/packages/almondgap-daemon/almondgap_daemon/main.py
@@ -16,7 +16,7 @@
 from almondgap_core.events import DrainRequested
 from almondgap_core.exceptions import UserError
 from almondgap_core.state import HostState
-from almondgap_core.units import MICROS_PER_MILLI, seconds
+from almondgap_core.units import seconds
 from almondgap_daemon.callers import CallerApi
 from almondgap_daemon.hostprocess import HostProcess, Lifecycle, make_lifecycle
 from almondgap_daemon.logs import configure_logs
@@ -31,6 +31,8 @@
 
 BACKLOG = 1024
 
+NANOS_PER_MILLI = 1_000_000
+
 #: Time after the deadline of a planned stop at which the process ends anyway.
 STOP_GRACE_S = 1
 
@@ -53,7 +55,7 @@
 
 def build_node(cfg: Settings) -> Node:
     """Return the host that the settings describe."""
-    incarnation = time.time_ns() // MICROS_PER_MILLI
+    incarnation = make_incarnation(time.time_ns())
     seed = int.from_bytes(os.urandom(8), "big")
     state = HostState(cfg.host, cfg.failure_domain, incarnation, seed=seed)
     platform = open_platform(cfg.platform)
@@ -62,6 +64,16 @@
     return Node(reactor, state, platform, platform, platform, links, metrics)
 
 
+def make_incarnation(now: int) -> int:
+    """Return the number of a run that starts now, greater than all earlier ones.
+
+    Milliseconds leave room for a count of 20 bits beside the number in a message.
+
+    :param now: time since 1970 in nanoseconds.
+    """
+    return now // NANOS_PER_MILLI
+
+
 def _listen(node: Node, cfg: Settings) -> None:
     callers = CallerApi(node, cfg).make_site()
     process = HostProcess(
--- a/packages/almondgap-testkit/almondgap_testkit/bench/measure_lookups.py
+++ b/packages/almondgap-testkit/almondgap_testkit/bench/measure_lookups.py
@@ -102,7 +102,9 @@
     state = build_state(build_inventory(document))
     state.steering.client_map = build_client_map(iterate_lines(BLOCKS), "synthetic")
     node = SimpleNamespace(state=state, reactor=reactor, now=lambda: 0)
-    cfg = SimpleNamespace(pepper="pepper", body_limit=1_024, host="a-1")
+    cfg = SimpleNamespace(
+        pepper="pepper", body_limit=1_024, body_memory=1_024, host="a-1"
+    )
     return CallerApi(node, cfg)
 
 
--- a/packages/almondgap-testkit/almondgap_testkit/demo/__main__.py
+++ b/packages/almondgap-testkit/almondgap_testkit/demo/__main__.py
@@ -96,6 +96,7 @@
 def _collect(fleet: Fleet, record: RunRecord) -> None:
     control = f"http://{fleet.target_control}"
     record.runs = [Run(**entry) for entry in fleet.get(f"{control}/runs")["runs"]]
+    record.errors = fleet.list_errors()
     records = fleet.get(f"{control}/records")
     record.keys_seen = sum(entry["keys_seen"] for entry in records.values())
 
--- a/packages/almondgap-testkit/almondgap_testkit/demo/judging.py
+++ b/packages/almondgap-testkit/almondgap_testkit/demo/judging.py
@@ -86,6 +86,7 @@
         _judge_planned_stop(record),
         _judge_in_force(record),
         _judge_no_revert(record),
+        _judge_errors(record),
     ]
 
 
@@ -269,6 +270,15 @@
     )
 
 
+def _judge_errors(record: RunRecord) -> Judgement:
+    return _judge(
+        "no host logs a fault of its own",
+        not record.errors,
+        f"{len(record.errors)} lines; {''.join(record.errors[:1])[:120]}",
+        shown=bool(record.sightings),
+    )
+
+
 def _measure_last(runs: list[Run], since: float) -> float:
     return max((run.at - since for run in runs if run.at > since), default=0.0)
 
--- a/packages/almondgap-testkit/almondgap_testkit/demo/records.py
+++ b/packages/almondgap-testkit/almondgap_testkit/demo/records.py
@@ -24,6 +24,7 @@
 class RunRecord:
     """What callers, targets and operators saw. Times are monotonic seconds.
 
+    :ivar errors: lines of level error in the hosts' logs.
     :ivar in_force_s: for each change, time until it was in force on every host.
     :ivar stop_code: exit code of the host that was stopped as planned.
     """
@@ -31,6 +32,7 @@
     samples: list[Sample] = Factory(list)
     runs: list[Run] = Factory(list)
     keys_seen: int = 0
+    errors: list[str] = Factory(list)
     sightings: list[Sighting] = Factory(list)
     in_force_s: list[float] = Factory(list)
     withdrawn_account: str = ""
--- a/packages/almondgap-testkit/almondgap_testkit/fleet.py
+++ b/packages/almondgap-testkit/almondgap_testkit/fleet.py
@@ -32,6 +32,9 @@
 GUARD_PLACE = "255.254"
 GUARD_PORT = 6_999
 
+#: What a line of level error in a host's log holds.
+ERROR_MARK = '"level": "error"'
+
 START_TIMEOUT_S = 20.0
 STOP_TIMEOUT_S = 40.0
 POLL_S = 0.05
@@ -158,6 +161,14 @@
             self.kill(name)
         self.guard.close()
 
+    def list_errors(self) -> list[str]:
+        """Return the lines of level error in the hosts' logs."""
+        lines: list[str] = []
+        for name in self.host_names:
+            text = (self.folder / f"{name}.log").read_text()
+            lines += [line for line in text.splitlines() if ERROR_MARK in line]
+        return lines
+
     def run_cli(self, *args: str, check: bool = True) -> subprocess.CompletedProcess:
         """Run the operators' command."""
         command = [sys.executable, "-m", "almondgap_cli.main", *args]
--- a/tests/daemon/test_lookups.py
+++ b/tests/daemon/test_lookups.py
@@ -23,7 +23,9 @@
         self.state.host = "c-1"
         self.state.steering.client_map = build_map([("10.0.0.0/8", "lake")])
         node = SimpleNamespace(state=self.state, reactor=reactor, now=lambda: 0)
-        cfg = SimpleNamespace(pepper="pepper", body_limit=1_024, host="a-1")
+        cfg = SimpleNamespace(
+            pepper="pepper", body_limit=1_024, body_memory=1_024, host="a-1"
+        )
         self.api = CallerApi(node, cfg)
 
     def ask(self, query: str, site: Site | None = None):
