--- a/packages/almondgap-core/almondgap_core/limits/renewal.py
+++ b/packages/almondgap-core/almondgap_core/limits/renewal.py
@@ -6,6 +6,7 @@
 
 from almondgap_core.effects import LogEntry, Transact
 from almondgap_core.events import Tick, TransactionEnded
+from almondgap_core.exceptions import ConfigurationError
 from almondgap_core.limits.alive import list_alive, list_heard
 from almondgap_core.limits.events import LeaseLost, LeaseTaken
 from almondgap_core.limits.leases import (
@@ -320,14 +321,22 @@
     return row is not None and row.is_held_by(state.host, state.incarnation)
 
 
-def _read_head(result: TransactionResult) -> int:
-    """Return the version of the configuration that was current at the transaction."""
+def _read_head(result: TransactionResult) -> int | None:
+    """Return the version that was current at the transaction, None if unreadable."""
     value = result.rows[-1].value
-    return 0 if value is None else Head.from_text(value).version
+    try:
+        return 0 if value is None else Head.from_text(value).version
+    except ConfigurationError:
+        return None
 
 
-def _adopt(state: HostState, head: int, now: int) -> None:
-    """Keep rows that name this run, also if the answer to the write was lost."""
+def _adopt(state: HostState, head: int | None, now: int) -> None:
+    """Keep rows that name this run, also if the answer to the write was lost.
+
+    Without a head that can be read it is not known which version the shares need.
+    """
+    if head is None:
+        return
     leases = state.limits.leases
     for partition, watched in leases.watched.items():
         if partition not in leases.own and _is_own(state, watched.row):
@@ -352,9 +361,9 @@
     if fresh or _plan_takes(state, now):
         _plan_retry(state, now)
     for partition, row in pending.rows.items():
-        if row.released:
+        lease = leases.own.get(partition)
+        if row.released or lease is None:
             continue
-        lease = leases.own[partition]
         lease.witnesses = frozenset(row.witnesses)
         lease.hold = row.hold
         if pending.sent < leases.promised.get(partition, 0):
--- /dev/null
+++ b/packages/almondgap-testkit/almondgap_testkit/models/__init__.py
@@ -0,0 +1,1 @@
+"""Small models of protocols, searched state by state."""
--- /dev/null
+++ b/packages/almondgap-testkit/almondgap_testkit/models/leases.py
@@ -0,0 +1,191 @@
+"""The lease of one partition: its holder, a witness, a stranger and the store.
+
+Writes take effect late or never and answers are lost. The holder goes on without the
+store by the witness's promises. Time passes in steps of one unit for all.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+from attrs import evolve, frozen
+
+HOLDER, WITNESS, STRANGER = range(3)
+
+#: Validity, longest time beyond it, and length of a promise, in units of time.
+LEASE = 2
+HOLD = 2
+PROMISE = 2
+MARGIN = 1
+
+#: Age from which nothing depends on a greater one.
+OLDEST = LEASE + HOLD + MARGIN
+
+
+@frozen
+class SentWrite:
+    """A write that may still take effect.
+
+    :ivar based_on: version that it requires.
+    :ivar age: time since it was sent.
+    :ivar done: whether it took effect; then its answer may arrive.
+    """
+
+    host: int
+    based_on: int
+    age: int = 0
+    done: bool = False
+
+
+@frozen
+class LeaseState:
+    """One state of the model.
+
+    :ivar row: holder and version of the row.
+    :ivar left: rest of validity at each host.
+    :ivar seen: version and time for which each host saw it unchanged.
+    :ivar writes: writes on their way.
+    :ivar since: time since the holder sent its last confirmed renewal.
+    :ivar asked: age of the holder's ask for a promise, None if there is none.
+    :ivar promise: answer on its way: rest of it as the holder counts.
+    :ivar promised: rest of the witness's promise as it counts itself.
+    """
+
+    row: tuple[int, int] = (HOLDER, 1)
+    left: tuple[int, ...] = (LEASE, 0, 0)
+    seen: tuple[tuple[int, int], ...] = ((1, 0), (1, 0), (1, 0))
+    writes: frozenset[SentWrite] = frozenset()
+    since: int = 0
+    asked: int | None = None
+    promise: int = 0
+    promised: int = 0
+
+
+@frozen
+class LeaseModel:
+    """The protocol; each flag is one safety rule.
+
+    :ivar most: versions of the row that are looked at.
+    :ivar counts_from_sending: validity counts from when the write was sent.
+    :ivar waits: a taker waits until it saw the row unchanged for long enough.
+    :ivar checks_version: a write takes effect only on the version it is based on.
+    :ivar keeps_promise: the witness does not use the partition while it promised.
+    :ivar stranger_waits: a host that is no witness waits the hold as well.
+    :ivar hold_ends: the holder goes on for the hold at most.
+    """
+
+    most: int = 3
+    counts_from_sending: bool = True
+    waits: bool = True
+    checks_version: bool = True
+    keeps_promise: bool = True
+    stranger_waits: bool = True
+    hold_ends: bool = True
+
+    def start(self) -> LeaseState:
+        """Return the first state: the holder has just renewed."""
+        return LeaseState()
+
+    def is_safe(self, state: LeaseState) -> bool:
+        """Return whether at most one host may use the partition."""
+        return sum(left > 0 for left in state.left) <= 1
+
+    def list_steps(self, state: LeaseState) -> Iterator[tuple[str, LeaseState]]:
+        """Yield all that may happen next."""
+        yield "time passes", self._pass_time(state)
+        for host in (HOLDER, WITNESS, STRANGER):
+            if state.seen[host][0] != state.row[1]:
+                yield f"{host} reads", _see(state, host)
+            if self._may_write(state, host):
+                write = SentWrite(host, state.seen[host][0])
+                yield f"{host} writes", evolve(state, writes=state.writes | {write})
+        for write in state.writes:
+            rest = evolve(state, writes=state.writes - {write})
+            yield "a write or answer is lost", rest
+            if write.done:
+                yield f"{write.host} gets its answer", self._confirm(rest, write)
+            elif self._fits(state, write) and state.row[1] < self.most:
+                yield f"write of {write.host} takes effect", self._commit(rest, write)
+        yield from self._list_promise_steps(state)
+
+    def _list_promise_steps(self, state: LeaseState):
+        if state.asked is None and state.left[HOLDER] and not state.promise:
+            yield "holder asks for a promise", evolve(state, asked=0)
+        if state.asked is not None:
+            if self._may_promise(state):
+                left = PROMISE - state.asked
+                promised = max(state.promised, PROMISE + MARGIN)
+                answer = evolve(state, asked=None, promise=left, promised=promised)
+                yield "witness promises", answer
+        if state.promise:
+            yield "the promise arrives", self._extend(state)
+
+    def _pass_time(self, state: LeaseState) -> LeaseState:
+        asked = None if state.asked is None else state.asked + 1
+        if asked is not None and asked >= PROMISE:
+            asked = None
+        return evolve(
+            state,
+            left=tuple(max(0, left - 1) for left in state.left),
+            seen=tuple((v, min(age + 1, OLDEST)) for v, age in state.seen),
+            writes=frozenset(
+                evolve(write, age=min(write.age + 1, LEASE)) for write in state.writes
+            ),
+            since=min(state.since + 1, OLDEST),
+            asked=asked,
+            promise=max(0, state.promise - 1),
+            promised=max(0, state.promised - 1),
+        )
+
+    def _may_write(self, state: LeaseState, host: int) -> bool:
+        if any(write.host == host for write in state.writes):
+            return False
+        version, age = state.seen[host]
+        if version == state.row[1] and state.row[0] == host:
+            return host == HOLDER or not (self.keeps_promise and state.promised)
+        if host == HOLDER or not self.waits:
+            return host != HOLDER
+        if host == WITNESS and self.keeps_promise and state.promised:
+            return False
+        wait = LEASE + MARGIN
+        if host == STRANGER and self.stranger_waits:
+            wait += HOLD
+        return age >= min(wait, OLDEST)
+
+    def _fits(self, state: LeaseState, write: SentWrite) -> bool:
+        return not self.checks_version or write.based_on == state.row[1]
+
+    def _commit(self, state: LeaseState, write: SentWrite) -> LeaseState:
+        done = evolve(write, done=True)
+        row = (write.host, state.row[1] + 1)
+        return evolve(state, row=row, writes=state.writes | {done})
+
+    def _confirm(self, state: LeaseState, write: SentWrite) -> LeaseState:
+        if write.host == WITNESS and self.keeps_promise and state.promised:
+            return _see(state, write.host)
+        age = write.age if self.counts_from_sending else 0
+        left = max(state.left[write.host], LEASE - age)
+        if write.host == HOLDER:
+            state = evolve(state, since=age)
+        state = evolve(state, left=_replace(state.left, write.host, left))
+        return _see(state, write.host)
+
+    def _may_promise(self, state: LeaseState) -> bool:
+        if state.left[WITNESS] or state.seen[WITNESS][0] > 1:
+            return False
+        return all(write.host != WITNESS for write in state.writes)
+
+    def _extend(self, state: LeaseState) -> LeaseState:
+        left = state.promise
+        if self.hold_ends:
+            left = min(left, LEASE + HOLD - state.since)
+        left = max(state.left[HOLDER], left)
+        return evolve(state, promise=0, left=_replace(state.left, HOLDER, left))
+
+
+def _replace(values: tuple, place: int, value) -> tuple:
+    return (*values[:place], value, *values[place + 1 :])
+
+
+def _see(state: LeaseState, host: int) -> LeaseState:
+    return evolve(state, seen=_replace(state.seen, host, (state.row[1], 0)))
--- /dev/null
+++ b/tests/core/limits/test_mutations.py
@@ -0,0 +1,182 @@
+from __future__ import annotations
+
+from unittest import TestCase, mock
+
+from almondgap_core import reducer
+from almondgap_core.effects import SendMessage
+from almondgap_core.limits import granting, leases, renewal
+from almondgap_core.limits.catalogue import compute_share
+from almondgap_core.limits.messages import Promise, PromiseAsk
+from almondgap_core.limits.pool import Pool
+from almondgap_core.units import TOKEN, millis, seconds
+from almondgap_testkit.builders import build_text
+from almondgap_testkit.fakes.rates import RateWorld, build_rate_text
+from almondgap_testkit.fakes.world import World
+from tests.core.limits.test_leases import HOSTS as LEASE_HOSTS
+from tests.core.limits.test_leases import list_holders
+from tests.core.limits.test_rates import FOUR_DOMAINS, HOSTS, LIMITS
+
+HOSTS_WITH_D = {**HOSTS, "d-1": "d"}
+
+
+def run_load(world: RateWorld, steps: int) -> None:
+    """Let every host ask for more than the rate."""
+    for _ in range(steps):
+        for host in world.hosts:
+            world.ask(host, "big")
+        world.run(millis(10))
+
+
+def build_world() -> RateWorld:
+    """Return a world whose buckets are full."""
+    world = RateWorld(LIMITS, HOSTS_WITH_D, FOUR_DOMAINS)
+    world.run(seconds(12))
+    return world
+
+
+def count_over_slow_links() -> int:
+    """Return the overshoot of bursts that meet after a long way."""
+    world = build_world()
+    for one in FOUR_DOMAINS:
+        for other in FOUR_DOMAINS:
+            if one < other:
+                world.network.slow[frozenset((one, other))] = millis(60)
+    for host in world.hosts:
+        for _ in range(20):
+            world.ask(host, "big")
+        world.run(millis(140))
+        run_load(world, 30)
+        world.run(seconds(3))
+    return world.count_overshoot("big")
+
+
+def count_around_pauses() -> int:
+    """Return the overshoot while each host in turn does not answer for a while."""
+    world = build_world()
+    for name in world.hosts:
+        world.pause(name)
+        run_load(world, 90)
+        world.resume(name)
+        run_load(world, 40)
+        world.run(seconds(3))
+    return world.count_overshoot("big")
+
+
+def count_around_cuts() -> int:
+    """Return the overshoot while each failure domain in turn is cut off."""
+    world = build_world()
+    for domain in FOUR_DOMAINS:
+        world.network.isolate(domain)
+        run_load(world, 190)
+        world.network.heal()
+        world.run(seconds(8))
+    return world.count_overshoot("big")
+
+
+def count_after_change() -> int:
+    """Return the overshoot while a removed domain is cut off and does not know."""
+    world = build_world()
+    world.network.isolate("a")
+    rest = {name: region for name, region in FOUR_DOMAINS.items() if name != "a"}
+    world.apply(build_rate_text(LIMITS, rest))
+    world.run(seconds(14))
+    run_load(world, 200)
+    return world.count_overshoot("big")
+
+
+def count_beside_pause() -> int:
+    """Return how many partitions have two holders when one of them is paused."""
+    world = World(build_text(), LEASE_HOSTS)
+    world.run(seconds(8))
+    world.pause(list_holders(world, "a")[0][0][0])
+    world.run(seconds(25))
+    return sum(len(held) > 1 for held in list_holders(world, "a").values())
+
+
+def count_beside_promise() -> int:
+    """Return how many have two when one has no store and goes on by promises."""
+    world = World(build_text(), LEASE_HOSTS)
+    world.run(seconds(8))
+    holder = list_holders(world, "a")[0][0][0]
+    kept = world._transact
+
+    def transact(name, state, effect):
+        if name != holder:
+            kept(name, state, effect)
+
+    world._transact = transact
+    world.run(seconds(25))
+    return sum(len(held) > 1 for held in list_holders(world, "a").values())
+
+
+def use_while_lent(state, name, now):
+    """Stand in for the end of the own share's use, without a look at loans."""
+    held = granting.find_partition(state.inventory, state.failure_domain, name)
+    lease = state.limits.leases.own.get(held)
+    return None if lease is None else lease.valid_until
+
+
+def forget_what_is_under_way(pool):
+    """Stand in for the limit of a pool's level."""
+    pool.level = min(pool.level, pool.burst * TOKEN)
+
+
+def promise_and_forget(state, host, message, now):
+    """Stand in for a witness that does not keep its promise."""
+    promise = Promise(message.number, state.incarnation, message.indexes)
+    state.perform(SendMessage(host, promise))
+
+
+def share_at_once(state, name):
+    """Stand in for the share under all versions that bind."""
+    return compute_share(state.inventory, state.failure_domain, name)
+
+
+class MutationTests(TestCase):
+    def test_nothing_is_found_without_a_mutation(self):
+        self.assertEqual(count_over_slow_links(), 0)
+        self.assertEqual(count_around_pauses(), 0)
+        self.assertEqual(count_around_cuts(), 0)
+        self.assertEqual(count_after_change(), 0)
+        self.assertEqual(count_beside_pause(), 0)
+        self.assertEqual(count_beside_promise(), 0)
+
+    def test_tokens_under_way_that_do_not_count_are_caught(self):
+        with mock.patch.object(Pool, "_clip", forget_what_is_under_way):
+            self.assertGreater(count_over_slow_links(), 0)
+
+    def test_owner_that_goes_on_using_its_share_is_caught(self):
+        with mock.patch.object(granting, "_find_own_end", use_while_lent):
+            self.assertGreater(count_around_cuts(), 0)
+
+    def test_share_that_starts_full_is_caught(self):
+        kept = Pool.put
+
+        def put(pool, name, source, tokens=0):
+            kept(pool, name, source, source.share.burst * TOKEN)
+
+        with mock.patch.object(Pool, "put", put):
+            self.assertGreater(count_around_pauses(), 0)
+
+    def test_share_that_grows_at_once_is_caught(self):
+        with mock.patch.object(granting, "find_share", share_at_once):
+            self.assertGreater(count_after_change(), 0)
+
+    def test_lease_that_is_not_checked_at_use_is_caught(self):
+        kept = renewal._note_time
+
+        def note_time(state, now):
+            kept(state, now)
+            for lease in state.limits.leases.own.values():
+                lease.valid_until = now + seconds(3600)
+
+        with (
+            mock.patch.object(renewal, "_note_time", note_time),
+            mock.patch.object(leases, "LOOP_GAP_US", seconds(3600)),
+        ):
+            self.assertGreater(count_beside_pause(), 0)
+
+    def test_witness_that_breaks_its_promise_is_caught(self):
+        lie = {PromiseAsk: promise_and_forget}
+        with mock.patch.dict(reducer.MESSAGE_HANDLERS, lie):
+            self.assertGreater(count_beside_promise(), 0)
