--- a/packages/almondgap-core/almondgap_core/operations/holder.py
+++ b/packages/almondgap-core/almondgap_core/operations/holder.py
@@ -73,9 +73,11 @@
     """Decide whether a request may run its operation, and record a permit."""
     prefix = candidate.key.prefix
     held = leases.find_held(state, prefix.partition, now)
+    book: Book | Decision
     if held is None:
-        return Judgement(Decision.ELSEWHERE)
-    book = find_book(state, prefix, held, now)
+        book = _find_open_book(state, candidate.key) or Decision.ELSEWHERE
+    else:
+        book = find_book(state, prefix, held, now)
     if isinstance(book, Decision):
         return Judgement(book)
     record = book.find(prefix.window, candidate.key.unique)
@@ -84,6 +86,12 @@
     return _judge_new(state, book, candidate, now)
 
 
+def may_judge(state: HostState, key: OperationKey, now: int) -> bool:
+    """Return whether this host decides about a key, as far as it knows."""
+    held = leases.find_held(state, key.prefix.partition, now)
+    return held is not None or _find_open_book(state, key) is not None
+
+
 def settle(
     state: HostState,
     key: OperationKey,
@@ -93,8 +101,8 @@
     status: int,
 ) -> bool:
     """Note what became of a permit; return whether this host keeps the book."""
-    book = state.operations.books.get((key.prefix.partition, key.prefix.epoch))
-    if book is None or book.sealed:
+    book = _find_open_book(state, key)
+    if book is None:
         return False
     record = book.find(key.prefix.window, key.unique)
     if record is None or record.asker != asker or record.progress is Progress.RAN:
@@ -140,6 +148,17 @@
         state.perform(SendMessage(host, OutcomeNoted(message.asker)))
 
 
+def _find_open_book(state: HostState, key: OperationKey) -> Book | None:
+    """Return the key's book if it is here and open.
+
+    Nobody else can have it: it is opened once, at its epoch, and moves only after it
+    was sealed here. So it may be written after the lease has ended, until the next
+    holder asks for it.
+    """
+    book = state.operations.books.get((key.prefix.partition, key.prefix.epoch))
+    return None if book is None or book.sealed else book
+
+
 def _judge_known(state, book: Book, record, candidate, now: int) -> Judgement:
     same = (record.account, record.digest) == (candidate.account, candidate.digest)
     if not same:
--- a/packages/almondgap-daemon/almondgap_daemon/operators.py
+++ b/packages/almondgap-daemon/almondgap_daemon/operators.py
@@ -3,10 +3,14 @@
 from __future__ import annotations
 
 import json
+from collections.abc import Callable
 
+from attrs import asdict
 from klein import Klein
 
-from almondgap_core.events import DrainRequested
+from almondgap_core.operations.inquiry import inquire
+from almondgap_core.operations.key import OperationKey
+from almondgap_core.steering.headroom import describe_headroom
 
 
 class OperatorApi:
@@ -14,8 +18,9 @@
 
     app = Klein()
 
-    def __init__(self, node) -> None:
+    def __init__(self, node, request_stop: Callable[[], None]) -> None:
         self.node = node
+        self.request_stop = request_stop
 
     @app.route("/v1/status")
     def status(self, request):
@@ -45,6 +50,15 @@
             request.setResponseCode(503)
         return _answer(request, {"ready": ready})
 
+    @app.route("/v1/headroom")
+    def headroom(self, request):
+        """Tell what each region can still take, as far as this host knows."""
+        state = self.node.state
+        regions = []
+        if state.inventory is not None:
+            regions = describe_headroom(state, self.node.now())
+        return _answer(request, {"regions": [asdict(entry) for entry in regions]})
+
     @app.route("/v1/histograms")
     def histograms(self, request):
         """Give latency percentiles and counts per client account."""
@@ -54,13 +68,29 @@
                 self.node.metrics.counts.items()
             )
         ]
-        body = {"latency": self.node.metrics.summarize(), "counts": counts}
+        metrics = self.node.metrics
+        body = {
+            "latency": metrics.summarize(),
+            "counts": counts,
+            "encoded": metrics.encode(),
+        }
         return _answer(request, body)
 
+    @app.route("/v1/operation")
+    def operation(self, request):
+        """Tell what this host knows of an operation."""
+        text = request.args.get(b"key", [b""])[0].decode(errors="replace")
+        key = OperationKey.from_text(text)
+        if key is None:
+            request.setResponseCode(404)
+            return _answer(request, {"error": "no look-up has given this key's prefix"})
+        known = inquire(self.node.state, key, self.node.now())
+        return _answer(request, {**asdict(known), "verdict": known.verdict.value})
+
     @app.route("/v1/drain", methods=["POST"])
     def drain(self, request):
         """Begin the planned stop."""
-        self.node.feed(DrainRequested(self.node.now()))
+        self.request_stop()
         return _answer(request, {"stopping": True})
 
 
--- a/packages/almondgap-daemon/almondgap_daemon/platform/__init__.py
+++ b/packages/almondgap-daemon/almondgap_daemon/platform/__init__.py
@@ -2,9 +2,14 @@
 
 from __future__ import annotations
 
+from almondgap_daemon.platform.folder import FolderPlatform
 from almondgap_daemon.platform.http import HttpPlatform
 
+Platform = FolderPlatform | HttpPlatform
 
-def open_platform(cfg):
+
+def open_platform(cfg) -> Platform:
     """Return the platform that the settings name."""
+    if cfg.kind == "file":
+        return FolderPlatform.from_config(cfg)
     return HttpPlatform.from_config(cfg)
--- a/packages/almondgap-daemon/almondgap_daemon/settings.py
+++ b/packages/almondgap-daemon/almondgap_daemon/settings.py
@@ -2,34 +2,66 @@
 
 from __future__ import annotations
 
+import ipaddress
 from pathlib import Path
 
 from attrs import field, frozen
 
 from almondgap_core.exceptions import ConfigurationError
 from almondgap_core.settings.parsing import parse_document
-from almondgap_core.settings.reader import Reader, Report
+from almondgap_core.settings.reader import Fault, Reader, Report
+from almondgap_daemon.tls import CertificateFiles, TlsSettings
 
 DEFAULT_BODY_LIMIT_BYTES = 1_048_576
+DEFAULT_BODY_MEMORY_BYTES = 67_108_864
 DEFAULT_STOP_DEADLINE_S = 30
 DEFAULT_LOG_LEVEL = "info"
 LOG_LEVELS = ("debug", "info", "warning", "error")
-PLATFORM_KINDS = ("http",)
+PLATFORM_KINDS = ("http", "file")
+
+#: Shorter secrets draw a warning, in characters.
+SECRET_LENGTH = 16
+
+#: Shorter planned stops draw a warning, in seconds.
+SHORT_STOP_S = 5
+
+
+@frozen
+class Address:
+    """An address and port to connect to."""
+
+    address: str
+    port: int
+
+    @classmethod
+    def from_reader(cls, reader: Reader) -> Address:
+        """Return the address that an object of the settings describes."""
+        found = cls(reader.address("address"), reader.port("port"))
+        reader.finish()
+        return found
 
 
 @frozen
 class Listener:
-    """An address and port to listen at, or to connect to."""
+    """An address and port to listen at.
+
+    :ivar files: certificates, or None for plain TCP.
+    """
 
     address: str
     port: int
+    files: CertificateFiles | None = None
 
     @classmethod
-    def from_reader(cls, reader: Reader) -> Listener:
-        """Return the listener that an object of the settings describes."""
-        listener = cls(reader.address("address"), reader.port("port"))
+    def from_reader(cls, reader: Reader, mutual: bool = False) -> Listener:
+        """Return the listener that an object of the settings describes.
+
+        :param mutual: whether TLS has to name an authority for the other side.
+        """
+        address, port = reader.address("address"), reader.port("port")
+        files = _read_files(reader, mutual)
         reader.finish()
-        return listener
+        return cls(address, port, files)
 
 
 @frozen
@@ -37,17 +69,23 @@
     """Where the platform is.
 
     :ivar kind: how to speak to it.
+    :ivar address: where it listens, for kind ``http``.
+    :ivar folder: where it is, for kind ``file``.
     """
 
     kind: str
-    address: str
-    port: int
+    address: str = ""
+    port: int = 0
+    folder: str = ""
 
     @classmethod
     def from_reader(cls, reader: Reader) -> PlatformSettings:
         """Return the platform that an object of the settings describes."""
         kind = reader.text("kind", choices=PLATFORM_KINDS)
-        settings = cls(kind, reader.address("address"), reader.port("port"))
+        if kind == "file":
+            settings = cls(kind, folder=reader.text("folder"))
+        else:
+            settings = cls(kind, reader.address("address"), reader.port("port"))
         reader.finish()
         return settings
 
@@ -60,6 +98,7 @@
     :ivar peer_secret: secret by which hosts of the fleet know each other.
     :ivar stop_deadline: longest planned stop, in seconds.
     :ivar body_limit: longest request body, in bytes.
+    :ivar body_memory: most memory for all request bodies together, in bytes.
     """
 
     host: str
@@ -71,25 +110,34 @@
     platform: PlatformSettings
     pepper: str = field(repr=False)
     peer_secret: str = field(repr=False)
-    statsd: Listener | None
+    statsd: Address | None
     log_level: str
     stop_deadline: int
     body_limit: int
+    body_memory: int
 
     @classmethod
     def from_file(cls, path: Path) -> Settings:
         """Return the settings in a file.
 
+        :raises ConfigurationError: lists every fault.
+        """
+        return cls.read(path)[0]
+
+    @classmethod
+    def read(cls, path: Path) -> tuple[Settings, tuple[str, ...]]:
+        """Return the settings in a file, and the warnings about them.
+
         :raises ConfigurationError: lists every fault.
         """
         try:
             text = path.read_text()
-        except OSError as exc:
-            raise ConfigurationError(f"{path}: {exc.strerror}") from exc
+        except (OSError, UnicodeDecodeError) as exc:
+            raise ConfigurationError(f"{path}: {exc}") from exc
         report = Report(str(path))
         settings = cls.from_document(parse_document(text, str(path)), report)
         report.raise_errors()
-        return settings
+        return settings, tuple(report.warnings)
 
     @classmethod
     def from_document(cls, document: object, report: Report) -> Settings:
@@ -101,7 +149,7 @@
             failure_domain=top.text("failure_domain"),
             callers=Listener.from_reader(top.section("callers")),
             operators=Listener.from_reader(top.section("operators")),
-            peers=Listener.from_reader(top.section("peers")),
+            peers=Listener.from_reader(top.section("peers"), mutual=True),
             platform=PlatformSettings.from_reader(top.section("platform")),
             pepper=top.text("pepper"),
             peer_secret=top.text("peer_secret"),
@@ -113,11 +161,59 @@
             body_limit=top.integer(
                 "body_limit_bytes", DEFAULT_BODY_LIMIT_BYTES, low=1_024
             ),
+            body_memory=top.integer(
+                "body_memory_bytes", DEFAULT_BODY_MEMORY_BYTES, low=1_024
+            ),
         )
         top.finish()
+        _warn_about(settings, top)
         return settings
 
 
-def _read_statsd(top: Reader) -> Listener | None:
+def _warn_about(settings: Settings, top: Reader) -> None:
+    for name in ("pepper", "peer_secret"):
+        if 0 < len(getattr(settings, name)) < SECRET_LENGTH:
+            top.warn(name, f"is shorter than {SECRET_LENGTH} characters")
+    if settings.pepper and settings.pepper == settings.peer_secret:
+        top.warn("peer_secret", "is the same as the pepper")
+    for name in ("callers", "operators", "peers"):
+        listener = getattr(settings, name)
+        if listener.files is None and not _is_loopback(listener.address):
+            top.warn(name, "is plain on an address that others can reach")
+    if settings.stop_deadline < SHORT_STOP_S:
+        top.warn("stop_deadline_s", "leaves slow requests little time")
+
+
+def _is_loopback(address: str) -> bool:
+    try:
+        return ipaddress.ip_address(address).is_loopback
+    except ValueError:
+        return True
+
+
+def _read_statsd(top: Reader) -> Address | None:
     reader = top.section("statsd")
-    return Listener.from_reader(reader) if top.has("statsd") else None
+    return Address.from_reader(reader) if top.has("statsd") else None
+
+
+def _read_files(reader: Reader, mutual: bool) -> CertificateFiles | None:
+    """Return the certificates of a listener; without any it must say ``plain``."""
+    plain = reader.boolean("plain", False)
+    section = reader.section("tls")
+    if not reader.has("tls"):
+        if not plain:
+            expected = 'certificates, or "plain": true'
+            reader.fail(reader.join("tls"), "nothing", expected)
+        return None
+    if plain:
+        reader.fail(reader.join("plain"), True, 'false beside "tls"')
+    faults = len(reader.report.errors)
+    settings = TlsSettings.from_reader(section, mutual)
+    if len(reader.report.errors) > faults:
+        return None
+    try:
+        return CertificateFiles.from_settings(settings)
+    except ConfigurationError as exc:
+        expected = "certificates that can be used"
+        reader.report.errors.append(Fault(reader.join("tls"), str(exc), expected))
+        return None
