--- a/packages/almondgap-testkit/almondgap_testkit/bench/measure_limits.py
+++ b/packages/almondgap-testkit/almondgap_testkit/bench/measure_limits.py
@@ -179,7 +179,7 @@
 def count_static(plan: list[Arrival], hosts: list[str]) -> int:
     """Return the wrongful refusals of an equal split over all hosts.
 
-    The burst is split exactly as well, so that a small one is less than a token.
+    Each part of a burst is at least one token, in favour of the split.
     """
     parts = len(HOST_NAMES)
     buckets: dict[tuple[str, str], Bucket] = {}
--- a/tests/core/limits/test_leases.py
+++ b/tests/core/limits/test_leases.py
@@ -5,9 +5,13 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from almondgap_core.events import PeerMessage
 from almondgap_core.limits.leases import LEASE_US, find_held
-from almondgap_core.limits.partitions import list_partitions
-from almondgap_core.units import seconds
+from almondgap_core.limits.messages import PromiseAsk
+from almondgap_core.limits.partitions import Partition, list_partitions
+from almondgap_core.limits.rows import LeaseRow, make_row_key
+from almondgap_core.reducer import step
+from almondgap_core.units import millis, seconds
 from almondgap_testkit.builders import build_text
 from almondgap_testkit.fakes.world import World
 
@@ -203,3 +207,33 @@
         world.network.cut("b", "platform")
         world.run(seconds(140))
         self.assertEqual([h for h in list_holders(world, "b").values() if h], [])
+
+    def test_first_row_after_a_lapse_lets_nobody_take_over_early(self):
+        world = self.build_world()
+        holder = list_holders(world, "a")[0][0][0]
+        old = self.read_row(world)
+        world.crash(holder)
+        fresh = old
+        while fresh.epoch == old.epoch:
+            world.run(millis(1))
+            fresh = self.read_row(world)
+        self.assertEqual(fresh.witnesses, ())
+        self.assertGreaterEqual(fresh.hold, old.hold)
+        world.run(seconds(4))
+        self.assertNotEqual(self.read_row(world).witnesses, ())
+
+    def read_row(self, world: World) -> LeaseRow:
+        key = make_row_key(Partition("a", 0))
+        return LeaseRow.from_text(world.platform.tables.read(key).value)
+
+    def test_no_promise_for_an_epoch_that_is_past(self):
+        world = self.build_world()
+        holder = list_holders(world, "a")[0][0][0]
+        other = next(name for name in ("a-1", "a-2") if name != holder)
+        state = world.hosts[other].state
+        now = world.read_clock(other)
+        epoch = self.read_row(world).epoch
+        for asked, answers in ((epoch, 1), (epoch - 1, 0)):
+            ask = PromiseAsk(1, seconds(7), (0,), (asked,))
+            effects = step(state, PeerMessage(now, holder, ask))
+            self.assertEqual(len(effects), answers)
