Read odd operation keys as none that a look-up gave; ask fewer hosts for books

Cause: an operation key that is no text, empty or given twice has to be refused, not taken for a request without a key; a new holder asked all 400 hosts eight times for books, also for partitions that never had a holder.

Change: such keys are refused with 428 as not run. The first holder of a partition asks nobody; hosts of other failure domains are asked in every fourth turn.

--- a/packages/almondgap-core/almondgap_core/operations/books.py
+++ b/packages/almondgap-core/almondgap_core/operations/books.py
@@ -16,6 +16,9 @@
 #: Time for which a new holder waits for the books of earlier epochs.
 TAKEOVER_WAIT_US = 2 * MICROS_PER_SECOND
 
+#: Epoch of a partition's first holder; there are no earlier books.
+FIRST_EPOCH = 1
+
 #: Time between two sweeps over old records.
 SWEEP_INTERVAL_US = 5 * MICROS_PER_SECOND
 
@@ -50,7 +53,8 @@
     known = takeovers.get(held.partition)
     if known is not None and known.epoch == held.epoch:
         return known
-    takeover = Takeover(held.epoch, now + TAKEOVER_WAIT_US)
+    wait = 0 if held.epoch == FIRST_EPOCH else TAKEOVER_WAIT_US
+    takeover = Takeover(held.epoch, now + wait)
     takeovers[held.partition] = takeover
     for (partition, epoch), book in state.operations.books.items():
         if partition == held.partition and epoch < held.epoch and not book.bound_to:
--- a/packages/almondgap-core/almondgap_core/operations/handover.py
+++ b/packages/almondgap-core/almondgap_core/operations/handover.py
@@ -26,6 +26,9 @@
 #: Time between two messages that ask for the same thing.
 RETRY_US = 250 * MICROS_PER_MILLI
 
+#: Hosts of other failure domains are asked for books in every turn of so many.
+FAR_TURN = 4
+
 #: Time without a page after which a fetch is given up.
 FETCH_TRIES = 20
 
@@ -139,9 +142,12 @@
     takeover.next_try = event.now + RETRY_US
     taker = _name_taker(state, str(takeover.epoch))
     ask = BooksAsk(partition.failure_domain, partition.index, takeover.epoch, taker)
-    for host in state.members.listed:
-        if host != state.host:
-            state.perform(SendMessage(host, ask))
+    far = takeover.tries % FAR_TURN == 0
+    takeover.tries += 1
+    for entry in state.members.listed.values():
+        near = entry.failure_domain == state.failure_domain
+        if entry.name != state.host and (near or far):
+            state.perform(SendMessage(entry.name, ask))
 
 
 def _ask_custody(state: HostState, book: Book, now: int) -> None:
--- a/packages/almondgap-core/almondgap_core/operations/state.py
+++ b/packages/almondgap-core/almondgap_core/operations/state.py
@@ -82,6 +82,7 @@
     epoch: int
     until: int
     next_try: int = 0
+    tries: int = 0
 
 
 @define
--- a/packages/almondgap-daemon/almondgap_daemon/attempt.py
+++ b/packages/almondgap-daemon/almondgap_daemon/attempt.py
@@ -17,9 +17,9 @@
 from almondgap_daemon.headers import (
     ACCOUNT_HEADER,
     DEADLINE_HEADER,
-    OPERATION_HEADER,
     REQUEST_HEADER,
     copy_request_headers,
+    read_operation,
 )
 
 
@@ -64,7 +64,7 @@
     def relay(self, request) -> None:
         """Pass the answer's body on to the caller."""
         self.relaying = True
-        if request.getHeader(OPERATION_HEADER) is not None:
+        if read_operation(request.requestHeaders):
             self._kept = bytearray()
         self._body = AnswerBody(self, request)
         self.response.original.deliverBody(self._body)
--- a/packages/almondgap-daemon/almondgap_daemon/callers.py
+++ b/packages/almondgap-daemon/almondgap_daemon/callers.py
@@ -15,7 +15,7 @@
 from almondgap_core.units import seconds
 from almondgap_core.verdict import Reason, Refusal, Verdict
 from almondgap_daemon.exchange import Exchange, write_refusal
-from almondgap_daemon.headers import KEY_HEADER, OPERATION_HEADER
+from almondgap_daemon.headers import KEY_HEADER, read_operation
 from almondgap_daemon.lookups import CallerResource, LookupResource
 
 #: Longest time that a caller can ask a request to take, in seconds.
@@ -112,7 +112,7 @@
             request.method.decode(),
             Credential.from_key(key, self.pepper) if key is not None else None,
             now + seconds(MAX_CALL_S),
-            operation=request.getHeader(OPERATION_HEADER) or "",
+            operation=read_operation(request.requestHeaders),
             digest=_compute_digest(request),
         )
         path = request.uri[len(CALL_PREFIX) + len(service.encode()) :]
@@ -130,7 +130,7 @@
 
 def _compute_digest(request) -> bytes:
     """Return the digest by which a repeat of an operation is known."""
-    if request.getHeader(OPERATION_HEADER) is None:
+    if not read_operation(request.requestHeaders):
         return b""
     digest = hashlib.blake2b(digest_size=DIGEST_BYTES)
     for part in (request.method, request.uri):
--- a/packages/almondgap-daemon/almondgap_daemon/headers.py
+++ b/packages/almondgap-daemon/almondgap_daemon/headers.py
@@ -11,6 +11,9 @@
 DEADLINE_HEADER = "Almondgap-Deadline-Ms"
 PREFIX = b"almondgap-"
 
+#: Stands for an operation key that is empty.
+NO_KEY = "-"
+
 #: Headers that belong to one connection, as RFC 9110 section 7.6.1 lists them.
 HOP_BY_HOP = frozenset(
     {
@@ -37,6 +40,17 @@
     return _copy(headers, set())
 
 
+def read_operation(headers: Headers) -> str:
+    """Return the operation key of a request, empty without one.
+
+    Several keys, and one that is empty or no text, read as a key that no look-up gave.
+    """
+    values = headers.getRawHeaders(OPERATION_HEADER.encode())
+    if values is None:
+        return ""
+    return b",".join(values).decode(errors="replace").strip() or NO_KEY
+
+
 def _copy(headers: Headers, dropped: set[bytes]) -> Headers:
     named = _list_connection_headers(headers)
     copied = Headers()
--- a/tests/daemon/test_operations.py
+++ b/tests/daemon/test_operations.py
@@ -74,11 +74,12 @@
         return json.loads(self.fleet.run_cli(*args).stdout)
 
     def test_key_without_prefix_is_refused(self):
-        status, headers, body = call(
-            self.url("akl-a-1"), method="POST", operation="mine"
-        )
-        self.assertEqual((status, headers["Almondgap-Verdict"]), (428, "not-run"))
-        self.assertEqual(json.loads(body)["reason"], "operation-unknown")
+        for key in ("mine", "", "\xe4\xff", "ago.akl-a.0.1.0", "x" * 300):
+            status, headers, body = call(
+                self.url("akl-a-1"), method="POST", operation=key
+            )
+            self.assertEqual((status, headers["Almondgap-Verdict"]), (428, "not-run"))
+            self.assertEqual(json.loads(body)["reason"], "operation-unknown")
 
     def test_repeat_with_another_path_is_refused(self):
         operation = f"{self.look_up('wlg-a-1')}.payment-2"
