--- a/packages/almondgap-cli/almondgap_cli/configuration.py
+++ b/packages/almondgap-cli/almondgap_cli/configuration.py
@@ -5,6 +5,7 @@
 import getpass
 from collections.abc import Callable
 from datetime import UTC, datetime
+from pathlib import Path
 
 from attrs import frozen
 
@@ -13,6 +14,7 @@
     ConfigurationError,
     ConflictError,
     PlatformUnavailable,
+    UserError,
 )
 from almondgap_core.platform import (
     Row,
@@ -29,13 +31,23 @@
     plan_head_change,
 )
 from almondgap_core.settings.rollout import load_inventory
+from almondgap_daemon.platform import Platform
+from almondgap_daemon.platform.folder import FolderPlatform
 from almondgap_daemon.platform.http import HttpPlatform
 
 READ_BACK_ATTEMPTS = 5
 
 
-def open_platform(place: str) -> HttpPlatform:
-    """Return the platform at ``address:port``."""
+def open_platform(place: str) -> Platform:
+    """Return the platform at ``address:port``, or in the folder of that path.
+
+    :raises UserError: the place is neither.
+    """
+    if "/" in place or Path(place).is_dir():
+        return FolderPlatform(Path(place))
+    address, _, port = place.rpartition(":")
+    if not address or not port.isdigit():
+        raise UserError(f"platform {place!r}: expected ADDRESS:PORT or a folder's path")
     return HttpPlatform(f"http://{place}")
 
 
@@ -61,19 +73,19 @@
         return 0 if self.head is None else self.head.version
 
 
-async def read_head(platform: HttpPlatform) -> CurrentHead:
+async def read_head(platform: Platform) -> CurrentHead:
     """Return the current head.
 
     :raises PlatformUnavailable: no answer.
     """
     result = await platform.transact(Transaction(reads=(HEAD,)))
     if result.outcome is not TransactionOutcome.COMMITTED:
-        raise PlatformUnavailable("the head could not be read")
+        raise PlatformUnavailable("the platform gives no answer")
     return CurrentHead.from_row(result.rows[0])
 
 
 async def move_head(
-    platform: HttpPlatform, body: bytes, expected: int | None, note: str
+    platform: Platform, body: bytes, expected: int | None, note: str
 ) -> Head:
     """Make ``body`` the current configuration.
 
@@ -95,7 +107,7 @@
     return await _read_back(platform, head, current)
 
 
-async def _read_back(platform: HttpPlatform, head: Head, based_on: CurrentHead) -> Head:
+async def _read_back(platform: Platform, head: Head, based_on: CurrentHead) -> Head:
     for _ in range(READ_BACK_ATTEMPTS):
         try:
             found = await read_head(platform)
@@ -115,7 +127,7 @@
 
 
 async def change_body(
-    platform: HttpPlatform, edit: Callable[[str], str], note: str
+    platform: Platform, edit: Callable[[str], str], note: str
 ) -> Head:
     """Make the current body, changed by ``edit``, the current configuration.
 
@@ -131,13 +143,13 @@
     return await move_head(platform, edited.encode(), current.version, note)
 
 
-async def read_history(platform: HttpPlatform) -> list[Head]:
+async def read_history(platform: Platform) -> list[Head]:
     """Return all accepted changes, the oldest first."""
     rows = await platform.scan(CONFIG_TABLE, HISTORY_PREFIX)
     return [Head.from_text(row.value) for row in rows]
 
 
-async def read_body(platform: HttpPlatform, version: int) -> bytes:
+async def read_body(platform: Platform, version: int) -> bytes:
     """Return the body of a version.
 
     :raises ConfigurationError: there was no such version.
@@ -148,7 +160,7 @@
     return await platform.get(head.body)
 
 
-async def _read_change(platform: HttpPlatform, version: int) -> Head | None:
+async def _read_change(platform: Platform, version: int) -> Head | None:
     key = RowKey(CONFIG_TABLE, make_history_key(version))
     result = await platform.transact(Transaction(reads=(key,)))
     if result.outcome is not TransactionOutcome.COMMITTED:
@@ -157,7 +169,7 @@
     return None if value is None else Head.from_text(value)
 
 
-async def _was_accepted(platform: HttpPlatform, head: Head) -> bool:
+async def _was_accepted(platform: Platform, head: Head) -> bool:
     """Return whether a change took effect before another one replaced it."""
     try:
         return await _read_change(platform, head.version) == head
--- a/packages/almondgap-cli/almondgap_cli/main.py
+++ b/packages/almondgap-cli/almondgap_cli/main.py
@@ -5,9 +5,13 @@
 import cappa
 from attrs import define
 
+from almondgap_cli.commands.account import Account
 from almondgap_cli.commands.apply import Apply
 from almondgap_cli.commands.check import Check
 from almondgap_cli.commands.diff import Diff
+from almondgap_cli.commands.drain import Drain
+from almondgap_cli.commands.headroom import Headroom
+from almondgap_cli.commands.histogram import Histogram
 from almondgap_cli.commands.history import History
 from almondgap_cli.commands.keys import Keys
 from almondgap_cli.commands.lookup import Lookup
@@ -24,9 +28,13 @@
     """The command and its subcommands."""
 
     command: cappa.Subcommands[
-        Apply
+        Account
+        | Apply
         | Check
         | Diff
+        | Drain
+        | Headroom
+        | Histogram
         | History
         | Keys
         | Lookup
--- a/packages/almondgap-cli/almondgap_cli/options.py
+++ b/packages/almondgap-cli/almondgap_cli/options.py
@@ -13,10 +13,14 @@
     cappa.Arg(
         long="--platform",
         default=cappa.Env("ALMONDGAP_PLATFORM"),
-        help="Address and port of the platform, such as 127.0.0.1:7000.",
+        help="Address and port of the platform, or the path of its folder.",
     ),
 ]
 
 Output = Annotated[
     OutputFormat, cappa.Arg(long="--output", help="Form of what is printed.")
 ]
+
+Hosts = Annotated[
+    list[str], cappa.Arg(help="Operators' addresses and ports.", num_args=-1)
+]
--- a/packages/almondgap-core/almondgap_core/limits/messages.py
+++ b/packages/almondgap-core/almondgap_core/limits/messages.py
@@ -16,6 +16,7 @@
 
     :ivar indexes: indexes of the partitions.
     :ivar epochs: epoch of each, in the same order.
+    :ivar version: configuration version from which on the sender uses shares.
     """
 
     kind: ClassVar[str] = "holdings"
@@ -23,6 +24,7 @@
     failure_domain: str = text()
     indexes: tuple[int, ...] = integers()
     epochs: tuple[int, ...] = integers()
+    version: int = integer()
 
 
 @register
@@ -154,6 +156,7 @@
 
     :ivar numbers: asks whose tokens are settled.
     :ivar returned: tokens of each that were not spent.
+    :ivar unasked: tokens of each that went to requests that never asked.
     """
 
     kind: ClassVar[str] = "token-used"
@@ -161,6 +164,7 @@
     names: tuple[str, ...] = texts()
     numbers: tuple[int, ...] = integers()
     returned: tuple[int, ...] = integers()
+    unasked: tuple[int, ...] = integers()
 
 
 @register
