--- a/packages/almondgap-cli/almondgap_cli/commands/operation.py
+++ b/packages/almondgap-cli/almondgap_cli/commands/operation.py
@@ -11,7 +11,7 @@
 
 from almondgap_cli.options import Output
 from almondgap_cli.running import run_command
-from almondgap_cli.web import fetch_json
+from almondgap_cli.web import fetch_json, make_url
 
 
 @cappa.command(name="operation", help="Show what is known of an operation.")
@@ -28,9 +28,8 @@
         run_command(self._show)
 
     async def _show(self) -> None:
-        known = await fetch_json(
-            f"http://{self.host}/v1/operation?key={quote(self.key)}"
-        )
+        path = f"/v1/operation?key={quote(self.key)}"
+        known = await fetch_json(make_url(self.host, path))
         if self.output == "json":
             print(json.dumps(known))
             return
--- a/packages/almondgap-testkit/almondgap_testkit/fakes/leases.py
+++ b/packages/almondgap-testkit/almondgap_testkit/fakes/leases.py
@@ -3,16 +3,26 @@
 from __future__ import annotations
 
 from collections.abc import Iterator
-from contextlib import contextmanager
+from contextlib import ExitStack, contextmanager
 from unittest import mock
 
 from attrs import Factory, define, frozen
 
-from almondgap_core.limits import leases
 from almondgap_core.limits.leases import HeldLease
 from almondgap_core.limits.partitions import Partition
+from almondgap_core.operations import (
+    asking,
+    books,
+    handover,
+    holder,
+    inquiry,
+    minting,
+)
 from almondgap_core.state import HostState
 
+#: Modules that ask who holds a partition; all others ask the real leases.
+MODULES = (asking, books, handover, holder, inquiry, minting)
+
 
 @frozen
 class Tenure:
@@ -71,8 +81,7 @@
     @contextmanager
     def in_force(self) -> Iterator[None]:
         """Let operations ask this object instead of the real leases."""
-        with (
-            mock.patch.object(leases, "find_held", self.find_held),
-            mock.patch.object(leases, "find_holder", self.find_holder),
-        ):
+        with ExitStack() as stack:
+            for module in MODULES:
+                stack.enter_context(mock.patch.object(module, "leases", self))
             yield
