--- a/packages/almondgap-cli/almondgap_cli/clientmaps.py
+++ b/packages/almondgap-cli/almondgap_cli/clientmaps.py
@@ -9,13 +9,13 @@
 
 import cappa
 
-from almondgap_cli.configuration import open_platform
 from almondgap_cli.files import read_inventory
 from almondgap_core.exceptions import ConfigurationError
 from almondgap_core.platform import compute_object_name
 from almondgap_core.steering.clientmap import ClientMap
 from almondgap_core.steering.clientmap_build import build_client_map
 from almondgap_core.steering.clientmap_codec import decode_map
+from almondgap_daemon.platform import open_place
 
 MapFile = Annotated[Path, cappa.Arg(help="Built client map.")]
 
@@ -78,7 +78,7 @@
     if output is not None:
         output.write_bytes(body)
     if platform is not None:
-        return await open_platform(platform).put(body)
+        return await open_place(platform).put(body)
     return compute_object_name(body)
 
 
--- a/packages/almondgap-cli/almondgap_cli/commands/apply.py
+++ b/packages/almondgap-cli/almondgap_cli/commands/apply.py
@@ -10,10 +10,11 @@
 import cappa
 from attrs import asdict, define
 
-from almondgap_cli.configuration import move_head, open_platform
+from almondgap_cli.configuration import move_head
 from almondgap_cli.files import read_inventory
 from almondgap_cli.options import Output, Platform
 from almondgap_cli.running import run_command
+from almondgap_daemon.platform import open_place
 
 
 @cappa.command(name="apply", help="Make an inventory the current configuration.")
@@ -38,7 +39,7 @@
         checked = read_inventory(self.file)
         for warning in checked.warnings:
             print(f"{self.file}: warning: {warning}", file=sys.stderr)
-        platform = open_platform(self.platform)
+        platform = open_place(self.platform)
         head = await move_head(
             platform, checked.text.encode(), self.expect, self.note or ""
         )
--- a/packages/almondgap-cli/almondgap_cli/configuration.py
+++ b/packages/almondgap-cli/almondgap_cli/configuration.py
@@ -18,16 +18,11 @@
     TransactionOutcome,
 )
 from almondgap_core.settings.head import HEAD, Head, plan_head_change
-from almondgap_daemon.platform.http import HttpPlatform
+from almondgap_daemon.platform import Platform
 
 READ_BACK_ATTEMPTS = 5
 
 
-def open_platform(place: str) -> HttpPlatform:
-    """Return the platform at ``address:port``."""
-    return HttpPlatform(f"http://{place}")
-
-
 @frozen
 class CurrentHead:
     """The head and the version of its row.
@@ -50,19 +45,19 @@
         return 0 if self.head is None else self.head.version
 
 
-async def read_head(platform: HttpPlatform) -> CurrentHead:
+async def read_head(platform: Platform) -> CurrentHead:
     """Return the current head.
 
     :raises PlatformUnavailable: no answer.
     """
     result = await platform.transact(Transaction(reads=(HEAD,)))
     if result.outcome is not TransactionOutcome.COMMITTED:
-        raise PlatformUnavailable("the head could not be read")
+        raise PlatformUnavailable("the platform gives no answer")
     return CurrentHead.from_row(result.rows[0])
 
 
 async def move_head(
-    platform: HttpPlatform, body: bytes, expected: int | None, note: str
+    platform: Platform, body: bytes, expected: int | None, note: str
 ) -> Head:
     """Make ``body`` the current configuration.
 
@@ -84,7 +79,7 @@
     return await _read_back(platform, head, current)
 
 
-async def _read_back(platform: HttpPlatform, head: Head, based_on: CurrentHead) -> Head:
+async def _read_back(platform: Platform, head: Head, based_on: CurrentHead) -> Head:
     for _ in range(READ_BACK_ATTEMPTS):
         try:
             found = await read_head(platform)
--- a/packages/almondgap-cli/almondgap_cli/main.py
+++ b/packages/almondgap-cli/almondgap_cli/main.py
@@ -5,9 +5,12 @@
 import cappa
 from attrs import define
 
+from almondgap_cli.commands.account import Account
 from almondgap_cli.commands.apply import Apply
 from almondgap_cli.commands.check import Check
+from almondgap_cli.commands.drain import Drain
 from almondgap_cli.commands.headroom import Headroom
+from almondgap_cli.commands.histogram import Histogram
 from almondgap_cli.commands.lookup import Lookup
 from almondgap_cli.commands.map import Map
 from almondgap_cli.commands.replay import Replay
@@ -20,7 +23,16 @@
     """The command and its subcommands."""
 
     command: cappa.Subcommands[
-        Apply | Check | Headroom | Lookup | Map | Replay | Status
+        Account
+        | Apply
+        | Check
+        | Drain
+        | Headroom
+        | Histogram
+        | Lookup
+        | Map
+        | Replay
+        | Status
     ]
 
 
--- a/packages/almondgap-daemon/almondgap_daemon/lookups.py
+++ b/packages/almondgap-daemon/almondgap_daemon/lookups.py
@@ -13,10 +13,11 @@
 from almondgap_core.steering.lookup import look_up_body
 from almondgap_core.units import MICROS_PER_SECOND
 from almondgap_core.verdict import Reason, Refusal, Verdict
-from almondgap_daemon.exchange import write_refusal
 from almondgap_daemon.headers import KEY_HEADER
+from almondgap_daemon.requests import write_refusal
 
 LOOKUP_PATH = b"/v1/lookup"
+LOOKUP_METHODS = (b"GET", b"HEAD")
 
 #: Wait after which a refused caller may look up again.
 RETRY_AFTER_US = MICROS_PER_SECOND
@@ -35,7 +36,7 @@
         self.make_id = make_id
 
     def render(self, request) -> bytes:
-        """Answer any method in the same way."""
+        """Answer a request that was routed here."""
         return self.answer(request)
 
     def answer(self, request) -> bytes:
@@ -95,8 +96,7 @@
 
     def render(self, request):
         """Answer a request."""
-        path = request.path
-        if path == LOOKUP_PATH:
+        if request.path == LOOKUP_PATH and request.method in LOOKUP_METHODS:
             return self.lookups.render(request)
         return self.routes.render(request)
 
--- a/packages/almondgap-daemon/almondgap_daemon/node.py
+++ b/packages/almondgap-daemon/almondgap_daemon/node.py
@@ -14,7 +14,7 @@
 from almondgap_core.messages import Message
 from almondgap_core.reducer import step
 from almondgap_core.state import HostState
-from almondgap_core.units import MICROS_PER_SECOND
+from almondgap_core.units import MICROS_PER_MILLI, MICROS_PER_SECOND
 from almondgap_daemon.metrics import Metrics
 from almondgap_daemon.peers import PeerLinks
 from almondgap_daemon.rim import HostList, ObjectStore, TableService
@@ -24,6 +24,9 @@
 TICK_S = 0.05
 HOST_LIST_INTERVAL_S = 2.0
 
+#: Answers from this status on are logged at level info.
+FAILED_STATUS = 500
+
 
 @define
 class Node:
@@ -47,7 +50,7 @@
 
     def start(self) -> None:
         """Begin to tick and to read the platform's list of hosts."""
-        self.ticks = LoopingCall(lambda: self.feed(events.Tick(self.now())))
+        self.ticks = LoopingCall(self._tick)
         self.ticks.clock = self.reactor
         self.ticks.start(TICK_S)
         self.listing = LoopingCall(self._read_hosts)
@@ -67,13 +70,24 @@
 
     def feed(self, event: events.Event) -> None:
         """Let the reducer handle an event and perform what it wants done."""
-        for effect in step(self.state, event):
-            self._perform(effect)
+        for effect in self._step(event):
+            try:
+                self._perform(effect)
+            except Exception:
+                log.exception("effect failed", effect=type(effect).__name__)
 
     def receive(self, host: str, message: Message) -> None:
         """Handle a message from another host."""
         self.feed(events.PeerMessage(self.now(), host, message))
 
+    def _step(self, event: events.Event) -> list[effects.Effect]:
+        try:
+            return step(self.state, event)
+        except Exception:
+            self.state.pending.clear()
+            self.state.effects.clear()
+            raise
+
     def _perform(self, effect: effects.Effect) -> None:
         match effect:
             case effects.SendMessage():
@@ -84,6 +98,7 @@
                 self._tell_exchange(effect)
             case effects.Finished():
                 self.metrics.record(effect)
+                _log_end(effect)
             case effects.Transact():
                 self._transact(effect)
             case effects.FetchBody():
@@ -101,6 +116,12 @@
             case _:
                 raise TypeError(f"no way to perform {type(effect).__name__}")
 
+    def _tick(self) -> None:
+        try:
+            self.feed(events.Tick(self.now()))
+        except Exception:
+            log.exception("tick failed")
+
     def _tell_exchange(self, effect) -> None:
         exchange = self.requests.get(effect.req_id)
         if exchange is not None:
@@ -108,7 +129,7 @@
 
     def _wake(self, at: int) -> None:
         delay = max(at - self.now(), 0) / MICROS_PER_SECOND
-        self.reactor.callLater(delay, lambda: self.feed(events.Tick(self.now())))
+        self.reactor.callLater(delay, self._tick)
 
     def _transact(self, effect: effects.Transact) -> None:
         def report(result) -> None:
@@ -153,6 +174,20 @@
                 self.links.set_address(entry.name, entry.address, entry.peer_port)
 
 
+def _log_end(end: effects.Finished) -> None:
+    """Log a request that is over; what went wrong at a higher level."""
+    write = log.info if end.status == 0 or end.status >= FAILED_STATUS else log.debug
+    write(
+        "request over",
+        request=end.req_id,
+        account=end.account,
+        service=end.service,
+        status=end.status,
+        verdict=end.verdict.value,
+        elapsed_ms=end.elapsed / MICROS_PER_MILLI,
+    )
+
+
 def _forgive_platform(failure: Failure) -> None:
     failure.trap(PlatformError)
 
--- a/packages/almondgap-daemon/almondgap_daemon/operators.py
+++ b/packages/almondgap-daemon/almondgap_daemon/operators.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 import json
+from collections.abc import Callable
 
 from attrs import asdict
 from klein import Klein
 
-from almondgap_core.events import DrainRequested
 from almondgap_core.steering.headroom import describe_headroom
 
 
@@ -16,8 +16,9 @@
 
     app = Klein()
 
-    def __init__(self, node) -> None:
+    def __init__(self, node, request_stop: Callable[[], None]) -> None:
         self.node = node
+        self.request_stop = request_stop
 
     @app.route("/v1/status")
     def status(self, request):
@@ -65,13 +66,18 @@
                 self.node.metrics.counts.items()
             )
         ]
-        body = {"latency": self.node.metrics.summarize(), "counts": counts}
+        metrics = self.node.metrics
+        body = {
+            "latency": metrics.summarize(),
+            "counts": counts,
+            "encoded": metrics.encode(),
+        }
         return _answer(request, body)
 
     @app.route("/v1/drain", methods=["POST"])
     def drain(self, request):
         """Begin the planned stop."""
-        self.node.feed(DrainRequested(self.node.now()))
+        self.request_stop()
         return _answer(request, {"stopping": True})
 
 
--- a/packages/almondgap-testkit/almondgap_testkit/demo/script.py
+++ b/packages/almondgap-testkit/almondgap_testkit/demo/script.py
@@ -22,7 +22,7 @@
 KILL_AT_S = 13.0
 STOP_AT_S = 19.0
 
-DRAINED_TARGET = "climb-slots-1"
+DRAINED_SERVICE = "climb-slots"
 WITHDRAWN_ACCOUNT = "hill-chapel"
 KILLED_HOST = "wlg-a-2"
 STOPPED_HOST = "chc-a-2"
@@ -62,14 +62,20 @@
         self._apply(document)
 
     def _drain(self) -> None:
-        say(f"drain target {DRAINED_TARGET}")
+        name = self._find_busiest()
+        say(f"drain target {name}")
         document = self._read()
-        for target in document["services"]["climb-slots"]["targets"]:
-            if target["name"] == DRAINED_TARGET:
+        for target in document["services"][DRAINED_SERVICE]["targets"]:
+            if target["name"] == name:
                 target["draining"] = True
-        self.record.drained_target = DRAINED_TARGET
+        self.record.drained_target = name
         self.record.drained_at = self._apply(document)
 
+    def _find_busiest(self) -> str:
+        records = self.fleet.get(f"http://{self.fleet.target_control}/records")
+        names = [name for name in records if name.startswith(DRAINED_SERVICE)]
+        return max(names, key=lambda name: records[name]["started"])
+
     def _withdraw(self) -> None:
         say(f"withdraw the key of {WITHDRAWN_ACCOUNT}")
         document = self._read()
--- a/tests/daemon/test_headroom.py
+++ b/tests/daemon/test_headroom.py
@@ -19,7 +19,9 @@
         summary = LoadSummary({load.key: load}, heard=0, age=0)
         state.members.summaries["a"] = summary
         node = SimpleNamespace(state=state, now=lambda: 2_000_000)
-        protocol, transport = connect(Site(OperatorApi(node).app.resource()))
+        protocol, transport = connect(
+            Site(OperatorApi(node, lambda: None).app.resource())
+        )
         protocol.dataReceived(b"GET /v1/headroom HTTP/1.0\r\n\r\n")
         body = json.loads(transport.take().partition(b"\r\n\r\n")[2])
         (north,) = body["regions"]
