--- a/packages/almondgap-cli/almondgap_cli/main.py
+++ b/packages/almondgap-cli/almondgap_cli/main.py
@@ -8,12 +8,17 @@
 from almondgap_cli.commands.account import Account
 from almondgap_cli.commands.apply import Apply
 from almondgap_cli.commands.check import Check
+from almondgap_cli.commands.diff import Diff
 from almondgap_cli.commands.drain import Drain
 from almondgap_cli.commands.headroom import Headroom
 from almondgap_cli.commands.histogram import Histogram
+from almondgap_cli.commands.history import History
+from almondgap_cli.commands.keys import Keys
 from almondgap_cli.commands.lookup import Lookup
 from almondgap_cli.commands.map import Map
+from almondgap_cli.commands.operation import Operation
 from almondgap_cli.commands.replay import Replay
+from almondgap_cli.commands.rollback import Rollback
 from almondgap_cli.commands.status import Status
 
 
@@ -26,12 +31,17 @@
         Account
         | Apply
         | Check
+        | Diff
         | Drain
         | Headroom
         | Histogram
+        | History
+        | Keys
         | Lookup
         | Map
+        | Operation
         | Replay
+        | Rollback
         | Status
     ]
 
--- a/packages/almondgap-core/almondgap_core/operations/asking.py
+++ b/packages/almondgap-core/almondgap_core/operations/asking.py
@@ -20,7 +20,7 @@
     OperationGranted,
     OperationRefused,
 )
-from almondgap_core.operations.holder import Candidate, judge, settle
+from almondgap_core.operations.holder import Candidate, judge, may_judge, settle
 from almondgap_core.operations.key import OperationKey
 from almondgap_core.operations.messages import (
     OutcomeNoted,
@@ -115,9 +115,8 @@
 
 
 def _try(state: HostState, req_id: str, ask: Ask, now: int) -> None:
-    partition = ask.key.prefix.partition
     left = max(ask.deadline - now, 0)
-    if leases.find_held(state, partition, now) is not None:
+    if may_judge(state, ask.key, now):
         asker = f"{state.host}/{ask.asker}"
         candidate = Candidate(ask.key, ask.account, ask.digest, asker, left)
         judgement = judge(state, candidate, now)
@@ -126,13 +125,23 @@
         _follow(state, req_id, ask, judgement.decision, status, answer, now)
         return
     ask.next_try = now + ASK_INTERVAL_US
-    holder = ask.holder or leases.find_holder(state, partition)
+    holder = ask.holder or _find_keeper(state, ask.key)
     ask.holder = ""
     if holder and holder != state.host:
         message = PermitAsk(ask.asker, str(ask.key), ask.account, ask.digest, left)
         state.perform(SendMessage(holder, message))
 
 
+def _find_keeper(state: HostState, key: OperationKey) -> str | None:
+    """Return the holder, or who offered the prefix while there is none."""
+    partition = key.prefix.partition
+    hint = state.operations.hints.get(partition)
+    holder = leases.find_holder(state, partition)
+    if holder is None and hint is not None and hint.prefix.epoch == key.prefix.epoch:
+        return hint.host
+    return holder
+
+
 def _follow(state, req_id: str, ask: Ask, decision, status: int, answer, now: int):
     if decision is Decision.GRANTED:
         ask.permitted = True
@@ -170,7 +179,7 @@
     if report.tries > MAX_REPORTS_TRIES:
         del state.operations.reports[asker]
         return
-    holder = leases.find_holder(state, report.key.prefix.partition)
+    holder = _find_keeper(state, report.key)
     if holder == state.host:
         _settle_own(state, asker, report)
     elif holder is not None:
