--- a/packages/almondgap-core/almondgap_core/operations/state.py
+++ b/packages/almondgap-core/almondgap_core/operations/state.py
@@ -51,6 +51,7 @@
 class Hint:
     """A prefix that another host holds, and when it said so."""
 
+    host: str
     prefix: OperationPrefix
     heard: int
 
--- a/packages/almondgap-daemon/almondgap_daemon/callers.py
+++ b/packages/almondgap-daemon/almondgap_daemon/callers.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 import hashlib
+import json
 
 from klein import Klein
-from twisted.web.client import Agent, HTTPConnectionPool
+from twisted.web.client import Agent
 from werkzeug.exceptions import HTTPException, MethodNotAllowed, NotFound
 
 from almondgap_core.events import RequestArrived
@@ -15,13 +16,13 @@
 from almondgap_daemon.exchange import Exchange
 from almondgap_daemon.headers import KEY_HEADER, OPERATION_HEADER
 from almondgap_daemon.lookups import CallerResource, LookupResource
+from almondgap_daemon.pool import TargetPool
 from almondgap_daemon.requests import BodyMemory, CallerSite, write_refusal
 
 #: Longest time that a caller can ask a request to take, in seconds.
 MAX_CALL_S = 600
 
 CONNECT_TIMEOUT_S = 1.0
-CONNECTIONS_PER_TARGET = 32
 DIGEST_BYTES = 16
 
 #: Place of the service's name in a request's path, split at the slashes.
@@ -38,10 +39,10 @@
         self.node = node
         self.cfg = cfg
         self.pepper = cfg.pepper.encode()
-        pool = HTTPConnectionPool(node.reactor, persistent=True)
-        pool.maxPersistentPerHost = CONNECTIONS_PER_TARGET
-        pool.retryAutomatically = False
-        self.http = Agent(node.reactor, connectTimeout=CONNECT_TIMEOUT_S, pool=pool)
+        self.pool = TargetPool(node.reactor)
+        self.http = Agent(
+            node.reactor, connectTimeout=CONNECT_TIMEOUT_S, pool=self.pool.http
+        )
         self._count = 0
         self.lookups = LookupResource(node, self.pepper, self._next_id)
 
@@ -59,9 +60,22 @@
             request.setHeader("Content-Length", str(len(body)))
         return body
 
+    @app.route("/v1/version")
+    def version(self, request):
+        """Tell which configuration version is in force, and why no newer is."""
+        settings = self.node.state.settings
+        body = {
+            "host": self.cfg.host,
+            "version": settings.version,
+            "rejected": settings.rejected,
+        }
+        request.setHeader("Content-Type", "application/json")
+        return json.dumps(body).encode() + b"\n"
+
     @app.route("/v1/call/<path:rest>")
     def call(self, request, rest: str):
         """Serve a request for a service."""
+        self.pool.adjust(self.node.state)
         service, slash, _ = rest.partition("/")
         if not slash:
             raise NotFound
