--- a/packages/almondgap-cli/almondgap_cli/waiting.py
+++ b/packages/almondgap-cli/almondgap_cli/waiting.py
@@ -5,15 +5,20 @@
 import sys
 import time
 from collections.abc import Callable
+from typing import Any
 
 from attrs import Factory, define
 from twisted.internet import defer, reactor, task
 
-from almondgap_cli.web import fetch_json
+from almondgap_cli.web import fetch_json, make_url
 from almondgap_core.events import HostEntry
 from almondgap_core.exceptions import UserError
 
 POLL_S = 0.3
+VERSION_PATH = "/v1/version"
+
+#: Longest reason that is shown why a host lacks a version, in characters.
+MAX_REASON_LENGTH = 120
 
 #: Hosts that are asked at the same time.
 ASKED_AT_ONCE = 40
@@ -86,13 +91,21 @@
 async def _find_missing(entry: HostEntry, version: int) -> str | None:
     """Return why a host does not have the version, or None if it has."""
     try:
-        answer = await fetch_json(
-            f"http://{entry.address}:{entry.caller_port}/v1/version"
-        )
+        answer = await _fetch_version(entry)
     except UserError as exc:
-        return str(exc)[:120]
+        return str(exc)[:MAX_REASON_LENGTH]
     if answer["version"] >= version:
         return None
     if answer["rejected"]:
-        return f"keeps version {answer['version']}: {answer['rejected'][:120]}"
+        reason = answer["rejected"][:MAX_REASON_LENGTH]
+        return f"keeps version {answer['version']}: {reason}"
     return f"has version {answer['version']}"
+
+
+async def _fetch_version(entry: HostEntry) -> dict[str, Any]:
+    """Ask for the version over TLS if the host does not answer without."""
+    place = f"{entry.address}:{entry.caller_port}"
+    try:
+        return await fetch_json(make_url(place, VERSION_PATH))
+    except UserError:
+        return await fetch_json(make_url(f"https://{place}", VERSION_PATH))
--- a/packages/almondgap-testkit/almondgap_testkit/bench/measure_steering.py
+++ b/packages/almondgap-testkit/almondgap_testkit/bench/measure_steering.py
@@ -9,7 +9,8 @@
 from collections.abc import Callable, Iterator
 
 from almondgap_core.platform import compute_object_name
-from almondgap_core.steering.clientmap import NO_SITE, ClientMap, Family, Range
+from almondgap_core.steering.addresses import Family
+from almondgap_core.steering.clientmap import NO_SITE, ClientMap, Range
 from almondgap_core.steering.clientmap_build import build_client_map
 from almondgap_core.steering.clientmap_codec import (
     DecodeWork,
