Let a broken head row not stop the renewal of leases

Cause: the renewal of leases read the head row and failed on one that is no head: seen in test_broken_head_row_takes_no_host_down. Change: it counts as no version there.

--- a/packages/almondgap-core/almondgap_core/limits/renewal.py
+++ b/packages/almondgap-core/almondgap_core/limits/renewal.py
@@ -6,6 +6,7 @@
 
 from almondgap_core.effects import LogEntry, Transact
 from almondgap_core.events import Tick, TransactionEnded
+from almondgap_core.exceptions import ConfigurationError
 from almondgap_core.limits.alive import list_alive, list_heard
 from almondgap_core.limits.events import LeaseLost, LeaseTaken
 from almondgap_core.limits.leases import (
@@ -324,7 +325,10 @@
 def _read_head(result: TransactionResult) -> int:
     """Return the version of the configuration that was current at the transaction."""
     value = result.rows[-1].value
-    return 0 if value is None else Head.from_text(value).version
+    try:
+        return 0 if value is None else Head.from_text(value).version
+    except ConfigurationError:
+        return 0
 
 
 def _adopt(state: HostState, head: int, now: int) -> None:
