--- a/packages/almondgap-core/almondgap_core/steering/owners.py
+++ b/packages/almondgap-core/almondgap_core/steering/owners.py
@@ -43,8 +43,12 @@
 def list_owners(
     state: HostState, service: str, exclude: tuple[str, ...], now: int
 ) -> list[str]:
-    """Return the hosts that hold targets of a service, the nearest first."""
-    distances: dict[str, tuple[float, int]] = {}
+    """Return the hosts that hold targets of a service, the nearest first.
+
+    Owners in a failure domain where a target already failed this request come last.
+    """
+    distances: dict[str, tuple[bool, float, int]] = {}
+    failed = list_failed_domains(state, exclude)
     for name in state.inventory.services[service].targets:
         target = state.inventory.targets[name]
         if target.draining or name in exclude:
@@ -53,10 +57,18 @@
         if owner is None or owner in distances:
             continue
         far = measure_distance(state, target)
-        distances[owner] = (SAME_HOST if owner == state.host else far, state.draw(256))
+        near = SAME_HOST if owner == state.host else far
+        last = target.failure_domain in failed
+        distances[owner] = (last, near, state.draw(256))
     return sorted(distances, key=distances.__getitem__)
 
 
+def list_failed_domains(state: HostState, exclude: tuple[str, ...]) -> set[str]:
+    """Return the failure domains of targets that already failed a request."""
+    targets = map(state.inventory.targets.get, exclude)
+    return {target.failure_domain for target in targets if target is not None}
+
+
 def seems_free(state: HostState, owner: str, service: str, now: int) -> bool:
     """Return whether the owner's failure domain reported free slots lately.
 
--- a/packages/almondgap-core/almondgap_core/steering/seeking.py
+++ b/packages/almondgap-core/almondgap_core/steering/seeking.py
@@ -18,7 +18,7 @@
     SlotGrant,
     SlotReturn,
 )
-from almondgap_core.steering.owners import make_plan
+from almondgap_core.steering.owners import list_failed_domains, make_plan
 from almondgap_core.steering.ownership import list_owned_targets
 from almondgap_core.steering.results import SlotResult, judge
 from almondgap_core.steering.slotbook import Ask, HeldSlot
@@ -39,12 +39,18 @@
     )
     if event.service not in state.inventory.services:
         _refuse(state, ask, event.now)
-    elif list_owned_targets(state, event.service, event.now):
+    elif _asks_itself_first(state, event):
         _send_ask(state, ask, state.host, False, event.now)
     else:
         _advance(state, ask, event.now)
 
 
+def _asks_itself_first(state: HostState, event: SlotAsked) -> bool:
+    if state.failure_domain in list_failed_domains(state, event.exclude):
+        return False
+    return bool(list_owned_targets(state, event.service, event.now))
+
+
 def handle_grant(state: HostState, host: str, message: SlotGrant, now: int) -> None:
     """Use the slot, or give it back if nobody here needs it.
 
