--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PACKAGES := core daemon cli testkit
 STAMP := $(VENV)/.installed
 
-.PHONY: demo test lint format bench scenarios soak
+.PHONY: demo test lint format bench scenarios soak capacity
 
 $(STAMP): requirements.txt $(wildcard packages/*/pyproject.toml)
 	python3 -m venv $(VENV)
@@ -36,3 +36,6 @@
 soak: $(STAMP)
 	$(BIN)/python -m almondgap_testkit.scenarios scenarios/random.scenario \
 		--seeds $(SEEDS)
+
+capacity: $(STAMP)
+	$(BIN)/python -m almondgap_testkit.capacity
--- /dev/null
+++ b/packages/almondgap-testkit/almondgap_testkit/capacity/__init__.py
@@ -0,0 +1,1 @@
+"""Slopes measured at several sizes, and the page that works out the full size."""
--- a/packages/almondgap-testkit/almondgap_testkit/fakes/network.py
+++ b/packages/almondgap-testkit/almondgap_testkit/fakes/network.py
@@ -40,6 +40,7 @@
     slow: dict[frozenset[str], int] = Factory(dict)
     cuts: set[frozenset[str]] = Factory(set)
     messages: int = 0
+    peer_messages: int = 0
 
     def cut(self, one: str, other: str) -> None:
         """Let nothing pass between two places."""
@@ -72,6 +73,7 @@
     def carry(self, one: str, other: str, deliver: Callable[[], None]) -> None:
         """Deliver a message unless it is lost or cut on the way."""
         self.messages += 1
+        self.peer_messages += PLATFORM not in (one, other)
         loss = self.store_loss if PLATFORM in (one, other) else self.loss
         if self.is_cut(one, other) or self.rng.random() < loss:
             return
