Give the release of leases a module of its own

Change: what a host gives up, and when nobody uses it any more, stands in limits/release.py; renewal.py keeps the transaction. No behaviour changed.

Conclusion: the promise that loans run out first can be read in one short file.

--- a/packages/almondgap-core/almondgap_core/lifecycle.py
+++ b/packages/almondgap-core/almondgap_core/lifecycle.py
@@ -4,7 +4,7 @@
 
 from almondgap_core.effects import LogEntry, Stopped
 from almondgap_core.events import DrainRequested, Tick
-from almondgap_core.limits.renewal import is_handed_over
+from almondgap_core.limits.release import is_handed_over
 from almondgap_core.operations.handover import move_books
 from almondgap_core.stages import Stage
 from almondgap_core.state import HostState
--- a/packages/almondgap-core/almondgap_core/limits/renewal.py
+++ b/packages/almondgap-core/almondgap_core/limits/renewal.py
@@ -10,16 +10,20 @@
 from almondgap_core.limits.alive import list_alive, list_heard
 from almondgap_core.limits.events import LeaseLost, LeaseTaken
 from almondgap_core.limits.leases import (
-    CREDIT_HELD_US,
     LEASE_US,
     LOOP_GAP_US,
 )
 from almondgap_core.limits.partitions import (
     Partition,
-    find_partition,
     list_partitions,
 )
 from almondgap_core.limits.placing import place
+from almondgap_core.limits.release import (
+    RETRY_US,
+    is_clean,
+    list_releasable,
+    must_release,
+)
 from almondgap_core.limits.rows import LeaseRow, Witness, make_row_key
 from almondgap_core.limits.state import OwnLease, PendingRenewal, WatchedRow
 from almondgap_core.limits.takeover import compute_free_from
@@ -32,15 +36,13 @@
     Write,
 )
 from almondgap_core.settings.head import HEAD, Head
-from almondgap_core.settings.inventory import MAX_DEADLINE_MS
 from almondgap_core.state import HostState
 from almondgap_core.units import millis, seconds
 
 RENEW_INTERVAL_US = seconds(2.8)
 RENEW_JITTER_US = seconds(0.4)
 
-#: Time to another try after a failure or a conflict, and most that jitter adds.
-RETRY_US = millis(300)
+#: Most that jitter adds to the time to another try.
 RETRY_JITTER_US = millis(300)
 
 #: Time that a new host listens for its neighbours before it takes partitions.
@@ -49,19 +51,10 @@
 #: Time that a free partition waits for the host it is placed on.
 COURTESY_US = seconds(4)
 
-#: Least time between two partitions that a host gives to others.
-MOVE_INTERVAL_US = seconds(5)
-
 #: Longest time without the store after the lease: with witnesses, and alone.
 HOLD_MAX_US = seconds(600)
 HOLD_ALONE_US = seconds(120)
 
-#: Time that a stopping host gives the store to take its release.
-RELEASE_LIMIT_US = seconds(5)
-
-#: Time after which nothing of an earlier holder can still run.
-LONGEST_DEADLINE_US = millis(MAX_DEADLINE_MS)
-
 TICKET = "leases"
 
 
@@ -71,7 +64,7 @@
     _note_time(state, event.now)
     if state.inventory is None or leases.pending is not None:
         return
-    if event.now >= leases.next_renewal or _must_release(state, event.now):
+    if event.now >= leases.next_renewal or must_release(state, event.now):
         _send(state, event.now)
 
 
@@ -114,24 +107,6 @@
     return (("partition", str(event.partition)), ("epoch", event.epoch))
 
 
-def is_handed_over(state: HostState, now: int) -> bool:
-    """Return whether a stopping host may exit: it released all, or cannot."""
-    leases = state.limits.leases
-    if leases.stop_by is None:
-        leases.stop_by = now + RELEASE_LIMIT_US
-    return not leases.own or now >= leases.stop_by
-
-
-def _must_release(state: HostState, now: int) -> bool:
-    leases = state.limits.leases
-    ready = _may_release(state) and bool(leases.own)
-    return ready and now >= leases.sent + RETRY_US
-
-
-def _may_release(state: HostState) -> bool:
-    return state.lifecycle.may_release and not state.is_busy
-
-
 def _note_time(state: HostState, now: int) -> None:
     leases = state.limits.leases
     if leases.started is None:
@@ -184,8 +159,8 @@
         row = _make_row(state, lease.epoch, lease.clean, witnesses)
         full = max(lease.full, state.limits.versions.full)
         rows[partition] = evolve(row, full=full)
-    for partition, lease in _list_releasable(state, rows, placed, now):
-        clean = not state.is_busy and _is_clean(lease, now)
+    for partition, lease in list_releasable(state, rows, placed, now):
+        clean = not state.is_busy and is_clean(lease, now)
         lease.valid_until = 0
         rows[partition] = evolve(rows[partition], released=True, clean=clean)
     for partition in _plan_takes(state, now):
@@ -238,51 +213,6 @@
     return HOLD_MAX_US if witnesses else HOLD_ALONE_US
 
 
-def _is_clean(lease: OwnLease, now: int) -> bool:
-    return lease.clean or now - lease.taken > LONGEST_DEADLINE_US
-
-
-def _list_releasable(state: HostState, rows, placed, now: int):
-    """Return the held partitions whose rows can be released now."""
-    leases = state.limits.leases
-    for partition in _pick_leaving(state, placed, now):
-        leases.own[partition].leaving = now
-    return [
-        (partition, lease)
-        for partition, lease in leases.own.items()
-        if lease.leaving is not None
-        and partition in rows
-        and not _is_in_use(state, partition, lease, now)
-    ]
-
-
-def _is_in_use(state: HostState, partition, lease: OwnLease, now: int) -> bool:
-    """Return whether others may still use what this host lent or granted."""
-    if now < lease.leaving + CREDIT_HELD_US:
-        return True
-    for name, lent in state.limits.lent.items():
-        if now < lent.ends and partition == find_partition(
-            state.inventory, state.failure_domain, name
-        ):
-            return True
-    return False
-
-
-def _pick_leaving(state: HostState, placed, now: int) -> list[Partition]:
-    """Return the partitions to stop lending: all on a stop, else one at a time."""
-    leases = state.limits.leases
-    staying = [p for p, lease in leases.own.items() if lease.leaving is None]
-    if state.stopping:
-        return staying if _may_release(state) else []
-    if now - leases.moved < MOVE_INTERVAL_US:
-        return []
-    for partition in staying:
-        if placed.get(partition, state.host) != state.host:
-            leases.moved = now
-            return [partition]
-    return []
-
-
 def _may_take(
     state: HostState,
     watched: WatchedRow,
