Let the platform's stand-in serve no more than the platform does

Cause: the stand-in counted reads and writes but served any number, so a fleet that asks too much would not be seen.

Change: rows read and transactions that write are admitted per second, 2,000 and 300; a call beyond is refused with status 503 and counted.

Before: no bound.

--- a/packages/almondgap-testkit/almondgap_testkit/standins/platform.py
+++ b/packages/almondgap-testkit/almondgap_testkit/standins/platform.py
@@ -16,6 +16,10 @@
 from almondgap_daemon.platform.memory import MemoryTables
 from almondgap_testkit.standins.serving import answer_json, listen, run
 
+#: Rows read and transactions that write in a second; source: the users' brief.
+READS_PER_S = 2_000
+WRITES_PER_S = 300
+
 
 @define
 class Faults:
@@ -33,10 +37,40 @@
 
 @define
 class Usage:
-    """Calls that the platform served."""
+    """Calls that the platform served and refused.
+
+    :ivar refused: calls beyond what the platform serves in a second.
+    """
 
     reads: int = 0
     writes: int = 0
+    refused: int = 0
+
+
+@define
+class Pace:
+    """What the platform serves in each second, as two windows that begin together."""
+
+    reads_per_s: int = READS_PER_S
+    writes_per_s: int = WRITES_PER_S
+    began: float = 0.0
+    reads: int = 0
+    writes: int = 0
+
+    def admit(self, now: float, reads: int, writes: int) -> bool:
+        """Count a call; return whether the platform serves it.
+
+        :param now: time in seconds.
+        """
+        if now - self.began >= 1.0:
+            self.began, self.reads, self.writes = now, 0, 0
+        if self.reads + reads > self.reads_per_s:
+            return False
+        if self.writes + writes > self.writes_per_s:
+            return False
+        self.reads += reads
+        self.writes += writes
+        return True
 
 
 @define
@@ -48,6 +82,7 @@
     hosts: list[dict] = Factory(list)
     faults: Faults = Factory(Faults)
     usage: Usage = Factory(Usage)
+    pace: Pace = Factory(Pace)
 
     app = Klein()
 
@@ -61,8 +96,9 @@
         except PlatformError as exc:
             request.setResponseCode(400)
             return str(exc).encode()
-        self.usage.reads += len(transaction.reads)
-        self.usage.writes += bool(transaction.writes)
+        reads, writes = len(transaction.reads), int(bool(transaction.writes))
+        if not self._admit(request, reads, writes):
+            return b""
         result = self.tables.apply(transaction)
         if transaction.writes and self.faults.lose_answers > 0:
             self.faults.lose_answers -= 1
@@ -75,7 +111,8 @@
         """Return the rows whose key starts with a prefix."""
         if await self._fail(request):
             return b""
-        self.usage.reads += 1
+        if not self._admit(request, 1, 0):
+            return b""
         prefix = request.args.get(b"prefix", [b""])[0].decode()
         rows = self.tables.find(table, prefix)
         return answer_json(request, [asdict(row) for row in rows])
@@ -85,7 +122,8 @@
         """Store a body."""
         if await self._fail(request):
             return b""
-        self.usage.writes += 1
+        if not self._admit(request, 0, 1):
+            return b""
         body = request.content.read()
         name = compute_object_name(body)
         self.objects[name] = body
@@ -96,7 +134,8 @@
         """Return a body."""
         if await self._fail(request):
             return b""
-        self.usage.reads += 1
+        if not self._admit(request, 1, 0):
+            return b""
         if name not in self.objects:
             request.setResponseCode(404)
             return b"no such object"
@@ -126,6 +165,15 @@
         """Tell how many calls were served."""
         return answer_json(request, asdict(self.usage))
 
+    def _admit(self, request, reads: int, writes: int) -> bool:
+        if not self.pace.admit(reactor.seconds(), reads, writes):
+            self.usage.refused += 1
+            request.setResponseCode(503)
+            return False
+        self.usage.reads += reads
+        self.usage.writes += writes
+        return True
+
     async def _fail(self, request) -> bool:
         if self.faults.delay_ms:
             await deferLater(reactor, self.faults.delay_ms / 1_000)
