--- a/packages/almondgap-core/almondgap_core/steering/clientmap_delta.py
+++ b/packages/almondgap-core/almondgap_core/steering/clientmap_delta.py
@@ -8,11 +8,11 @@
 
 from attrs import Factory, define, frozen
 
+from almondgap_core.steering.addresses import Family
 from almondgap_core.steering.clientmap import (
     NO_SITE,
     Chunk,
     ClientMap,
-    Family,
     FamilyTable,
     Range,
 )
