Never record 'not run' for a caller that left after a broken attempt

Cause: a caller that leaves while its retry waits for a slot was recorded as not run, though an earlier attempt had left for a target. For an operation with an idempotent method that verdict would have given the permit back. Found by reading every place that says 'not run'. Ruled out: refusals and shed answers, which look at earlier attempts.

Change: the verdict of a caller that left looks at earlier attempts too.

Before: the new test failed with 'not run'. After: the 8 tests of the request's flow pass.

Conclusion: one flag of the request decides all verdicts now.

--- a/packages/almondgap-core/almondgap_core/requests/flow.py
+++ b/packages/almondgap-core/almondgap_core/requests/flow.py
@@ -198,7 +198,7 @@
         _release(state, record, AttemptOutcome.CANCELLED, event.now)
     else:
         state.emit(SlotWithdrawn(event.now, record.req_id))
-    verdict = Verdict.MAY_HAVE_RUN if ran else Verdict.NOT_RUN
+    verdict = Verdict.MAY_HAVE_RUN if ran or record.exposed else Verdict.NOT_RUN
     _record_end(state, record, 0, verdict, event.now)
 
 
--- a/tests/core/requests/test_flow.py
+++ b/tests/core/requests/test_flow.py
@@ -3,7 +3,13 @@
 from unittest import TestCase
 
 from almondgap_core.effects import CutAnswer, Dispatch, Finished, Refuse, Relay
-from almondgap_core.events import AnswerStarted, AttemptEnded, AttemptOutcome, Tick
+from almondgap_core.events import (
+    AnswerStarted,
+    AttemptEnded,
+    AttemptOutcome,
+    CallerGone,
+    Tick,
+)
 from almondgap_core.reducer import step
 from almondgap_core.units import seconds
 from almondgap_core.verdict import Reason, Verdict
@@ -78,6 +84,14 @@
         (refuse,) = refusals
         self.assertIs(refuse.refusal.verdict, Verdict.MAY_HAVE_RUN)
 
+    def test_caller_that_leaves_after_a_broken_attempt_leaves_doubt(self):
+        self.run_until_dispatch()
+        for number in range(4):
+            step(self.state, build_arrival(req_id=f"other{number}"))
+        step(self.state, AttemptEnded(1, "r1", 1, AttemptOutcome.BROKEN))
+        (end,) = pick(step(self.state, CallerGone(2, "r1")), Finished)
+        self.assertIs(end.verdict, Verdict.MAY_HAVE_RUN)
+
     def test_broken_answer_is_cut(self):
         self.run_until_dispatch()
         step(self.state, AnswerStarted(1, "r1", 1, 200))
