--- a/packages/almondgap-cli/almondgap_cli/configuration.py
+++ b/packages/almondgap-cli/almondgap_cli/configuration.py
@@ -31,9 +31,9 @@
     plan_head_change,
 )
 from almondgap_core.settings.rollout import load_inventory
-from almondgap_daemon.platform import Platform
-from almondgap_daemon.platform.folder import FolderPlatform
-from almondgap_daemon.platform.http import HttpPlatform
+from almondgap_daemon.tables import Platform
+from almondgap_daemon.tables.folder import FolderPlatform
+from almondgap_daemon.tables.http import HttpPlatform
 
 READ_BACK_ATTEMPTS = 5
 
--- /dev/null
+++ b/packages/almondgap-core/almondgap_core/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions of a gateway: a host that passes callers' requests on to targets."""
--- /dev/null
+++ b/packages/almondgap-core/almondgap_core/gateway/admission.py
@@ -0,0 +1,84 @@
+"""Whether a caller's request is accepted: route, key, and its account's limit."""
+
+from __future__ import annotations
+
+from almondgap_core.gateway.allotments import Allotment
+from almondgap_core.gateway.configuration import Account, Route
+from almondgap_core.gateway.events import CallArrived
+from almondgap_core.gateway.fleet import share_limit
+from almondgap_core.gateway.state import Call, GatewayState
+from almondgap_core.units import MICROS_PER_SECOND, millis
+from almondgap_core.verdict import Reason, Refusal, Verdict
+
+#: When a caller may come back to a host that has no configuration yet.
+NOT_READY_US = millis(300)
+
+#: Greatest time that a caller over its rate is told to wait.
+MOST_WAIT_US = 5 * MICROS_PER_SECOND
+
+
+def admit_call(state: GatewayState, event: CallArrived) -> Call | Refusal:
+    """Return the request to be placed, or why it is refused."""
+    cfg = state.configuration
+    if cfg is None:
+        return _refuse(503, Reason.NOT_READY, "no configuration yet", NOT_READY_US)
+    route = cfg.find_route(event.host, event.path)
+    if route is None:
+        return _refuse(404, Reason.NO_ROUTE, "no route for this host and path")
+    account = cfg.find_account(event.key) if event.key else None
+    if not route.public and cfg.accounts and account is None:
+        reason = Reason.KEY_UNKNOWN if event.key else Reason.KEY_MISSING
+        return _refuse(401, reason, "the route asks for the key of an account")
+    if event.patience <= 0:
+        return _refuse(503, Reason.DEADLINE_PASSED, "the caller's time is over")
+    if account is not None:
+        refused = _take_token(state, account, event.now)
+        if refused is not None:
+            return refused
+    return Call(
+        number=event.call,
+        request_id=event.request_id,
+        arrived=event.now,
+        expires=event.now + min(route.timeout, event.patience),
+        deadline=event.now + event.patience,
+        route=route,
+        account=account,
+        service=choose_service(state, route),
+        thing=event.thing,
+    )
+
+
+def choose_service(state: GatewayState, route: Route) -> str:
+    """Return the service whose turn it is among those that share a route."""
+    if len(route.backends) == 1:
+        return route.backends[0].service
+    credit = state.backend_credit.setdefault(route.name, {})
+    total = sum(backend.weight for backend in route.backends) or 1.0
+    for backend in route.backends:
+        before = credit.get(backend.service, 0.0)
+        credit[backend.service] = before + backend.weight / total
+    listed = [backend.service for backend in route.backends if backend.weight > 0]
+    chosen = max(listed, key=lambda name: credit[name])
+    credit[chosen] -= 1.0
+    return chosen
+
+
+def _take_token(state: GatewayState, account: Account, now: int) -> Refusal | None:
+    allotment = state.allotments.get(account.name)
+    if allotment is None:
+        allotment = state.allotments[account.name] = Allotment()
+        share_limit(state, account.name, now)
+    allotment.asked.count(now)
+    if account.rate <= 0 or allotment.take(account.rate, account.burst, now):
+        return None
+    wait = min(allotment.compute_wait(account.rate), MOST_WAIT_US)
+    detail = (
+        f"account asks {allotment.asked.read(now):.1f}/s here and "
+        f"{allotment.elsewhere:.1f}/s elsewhere of {account.rate:g}/s; "
+        f"share {allotment.share:.3f}"
+    )
+    return _refuse(429, Reason.OVER_RATE, detail, wait)
+
+
+def _refuse(status: int, reason: Reason, detail: str, wait: int | None = None):
+    return Refusal(status, reason, Verdict.NOT_RUN, detail, wait)
--- /dev/null
+++ b/packages/almondgap-core/almondgap_core/gateway/beats.py
@@ -0,0 +1,62 @@
+"""What hosts tell each other about once a second."""
+
+from __future__ import annotations
+
+from attrs import Factory, define, frozen
+
+
+@frozen
+class HostPlace:
+    """Where a host is.
+
+    :ivar callers: address at which callers reach it, with the port.
+    :ivar peers: address at which other hosts reach it, with the port.
+    """
+
+    host: str
+    failure_domain: str
+    region: str
+    callers: str
+    peers: str
+
+
+@frozen
+class Beat:
+    """What a host tells of itself.
+
+    :ivar incarnation: number of this run of the host, greater than earlier ones.
+    :ivar sequence: number of the beat within the run.
+    :ivar ready: whether callers may be sent to it.
+    :ivar version: version of its configuration, 0 without one.
+    :ivar asked: requests per second that each client account asks of it.
+    :ivar demand: requests per second for each service that callers ask of it.
+    """
+
+    place: HostPlace
+    incarnation: int
+    sequence: int
+    ready: bool
+    version: int = 0
+    asked: dict[str, float] = Factory(dict)
+    demand: dict[str, float] = Factory(dict)
+
+
+@define
+class Meter:
+    """A rate as a moving average over some seconds, decaying while nothing comes.
+
+    :ivar span: time that the average looks back, in microseconds.
+    """
+
+    span: int
+    rate: float = 0.0
+    at: int = 0
+
+    def count(self, now: int) -> None:
+        """Count one event."""
+        self.rate = self.read(now) + 1_000_000 / self.span
+        self.at = now
+
+    def read(self, now: int) -> float:
+        """Return events per second."""
+        return self.rate * 2.0 ** (-(max(0, now - self.at)) * 1.4427 / self.span)
--- /dev/null
+++ b/packages/almondgap-core/almondgap_core/gateway/calls.py
@@ -0,0 +1,319 @@
+"""A caller's request from its arrival to its answer."""
+
+from __future__ import annotations
+
+from almondgap_core.gateway.admission import admit_call
+from almondgap_core.gateway.attempts import note_failure, note_silence, send_call
+from almondgap_core.gateway.beats import Meter
+from almondgap_core.gateway.effects import Abandon, Cancel, Deliver, Expire, Refuse
+from almondgap_core.gateway.events import (
+    AttemptFailed,
+    CallArrived,
+    CallerLeft,
+    CallExpired,
+    Failure,
+    GatewayEvent,
+    TargetAnswered,
+)
+from almondgap_core.gateway.fleet import count_hosts
+from almondgap_core.gateway.health import note_answer, note_misdirected
+from almondgap_core.gateway.overload import judge
+from almondgap_core.gateway.reports import (
+    AttemptLost,
+    CallerGone,
+    RequestAnswered,
+    RequestRefused,
+    RequestRetried,
+    RetryDenied,
+)
+from almondgap_core.gateway.retries import RetryAllowance
+from almondgap_core.gateway.routing import find_choice
+from almondgap_core.gateway.state import Call, GatewayState
+from almondgap_core.units import MICROS_PER_MILLI, millis, seconds
+from almondgap_core.verdict import Reason, Refusal, Verdict
+
+#: Time over which the demand for a service is averaged: several windows of a shift.
+DEMAND_SPAN_US = seconds(5)
+
+#: Answers that say that a request did not run. A target may say so only with proof.
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+
+#: When a caller may come back after a failure that may be over soon; as much again is
+#: added at random.
+RETRY_AFTER_US = millis(250)
+
+#: Connections that fail before a request is given up; such a request was never sent.
+MOST_CONNECTS = 3
+
+#: Least time that a further attempt needs, in relation to what is expected.
+LEAST_TIME_PART = 0.8
+
+
+def handle_call_arrived(state: GatewayState, event: CallArrived) -> None:
+    """Admit and place a request, or refuse it at once."""
+    admitted = admit_call(state, event)
+    if isinstance(admitted, Refusal):
+        _refuse_arrival(state, event, admitted)
+        return
+    call = admitted
+    state.calls[call.number] = call
+    _count_demand(state, call, event.now)
+    state.perform(Expire(call.number, call.expires - event.now))
+    place_call(state, call, event.now)
+
+
+def place_call(state: GatewayState, call: Call, now: int) -> None:
+    """Send a request to the best target, or refuse it if it cannot be served."""
+    choice = find_choice(state, call, now)
+    if choice is None:
+        refuse_call(state, call, now, 503, Reason.NO_TARGET, "no target can be used")
+        return
+    refused = judge(state, call, choice, now)
+    if refused is None:
+        send_call(state, call, choice, now)
+        return
+    finish(state, call, now, refused)
+
+
+def handle_target_answered(state: GatewayState, event: TargetAnswered) -> None:
+    """Pass an answer on, or try elsewhere if the request did not run."""
+    call = state.calls.get(event.call)
+    if call is None or call.attempt != event.attempt:
+        return
+    now = event.now
+    target = state.targets.get(call.target)
+    if target is not None:
+        note_answer(state, call, target, event)
+    call.attempt = 0
+    if event.misdirected:
+        note_misdirected(state, call, now)
+        _retry_or_refuse(state, call, now, "another target has the address")
+    elif event.not_executed:
+        _report_lost(state, call, event.attempt, "not executed", Verdict.NOT_RUN, now)
+        _retry_or_refuse(state, call, now, f"target refused with {event.status}")
+    elif event.sealed and event.status < 500:
+        _deliver(state, call, event)
+    else:
+        _handle_bad_answer(state, call, event)
+
+
+def handle_attempt_failed(state: GatewayState, event: AttemptFailed) -> None:
+    """Try elsewhere if that is safe, otherwise say what is known."""
+    call = state.calls.get(event.call)
+    if call is None or call.attempt != event.attempt:
+        return
+    now = event.now
+    note_failure(state, call, event)
+    call.attempt = 0
+    failure = event.failure.value
+    _report_lost(state, call, event.attempt, failure, event.verdict, now)
+    if event.verdict is not Verdict.NOT_RUN:
+        call.may_have_run = True
+    elif event.failure is Failure.NOT_CONNECTED:
+        call.sends.pop()
+        call.connects += 1
+        if call.connects < MOST_CONNECTS and _has_time(state, call, now):
+            place_call(state, call, now)
+            return
+    _retry_or_refuse(state, call, now, failure)
+
+
+def handle_caller_left(state: GatewayState, event: CallerLeft) -> None:
+    """Stop work that nobody waits for; work that runs once is let finish."""
+    call = state.calls.pop(event.call, None)
+    if call is None:
+        return
+    _stop_attempt(state, call, cancel=call.route.idempotent)
+    took = (event.now - call.arrived) // MICROS_PER_MILLI
+    cancelled = bool(call.attempt and call.route.idempotent)
+    state.report(CallerGone(call.request_id, call.target, cancelled, took))
+
+
+def handle_call_expired(state: GatewayState, event: CallExpired) -> None:
+    """Give the final answer when the time of a request is over."""
+    call = state.calls.get(event.call)
+    if call is None:
+        return
+    if call.attempt:
+        note_silence(state, call, event.now)
+        call.may_have_run = True
+        _stop_attempt(state, call, cancel=True)
+        call.attempt = 0
+    detail = "no answer of the target within the time of the request"
+    refuse_call(state, call, event.now, 504, Reason.DEADLINE_PASSED, detail)
+
+
+def refuse_call(
+    state: GatewayState,
+    call: Call,
+    now: int,
+    status: int,
+    reason: Reason,
+    detail: str,
+    retry_after: int | None = None,
+) -> None:
+    """Answer in place of a target; the verdict follows from the attempts made."""
+    verdict = Verdict.MAY_HAVE_RUN if call.may_have_run else Verdict.NOT_RUN
+    if verdict is Verdict.NOT_RUN and status == 504:
+        status = 503
+    elif verdict is Verdict.MAY_HAVE_RUN and status == 503:
+        status = 502
+    if status == 503 and retry_after is None:
+        retry_after = RETRY_AFTER_US + state.draw(RETRY_AFTER_US)
+    refusal = Refusal(status, reason, verdict, detail, retry_after)
+    finish(state, call, now, refusal)
+
+
+def finish(state: GatewayState, call: Call, now: int, refusal: Refusal) -> None:
+    """End a request with an answer of this host."""
+    del state.calls[call.number]
+    state.perform(Refuse(call.number, refusal))
+    wait = refusal.retry_after
+    state.report(
+        RequestRefused(
+            call.request_id,
+            call.route.name,
+            call.account_name,
+            call.service,
+            call.route.idempotent,
+            refusal.status,
+            refusal.reason.value,
+            refusal.verdict.value,
+            refusal.detail,
+            None if wait is None else wait // MICROS_PER_MILLI,
+            (now - call.arrived) // MICROS_PER_MILLI,
+            len(call.sends) + call.connects,
+            state.version,
+        )
+    )
+
+
+def _refuse_arrival(state: GatewayState, event: CallArrived, refusal: Refusal) -> None:
+    state.perform(Refuse(event.call, refusal))
+    wait = refusal.retry_after
+    state.report(
+        RequestRefused(
+            event.request_id,
+            "",
+            "",
+            "",
+            False,
+            refusal.status,
+            refusal.reason.value,
+            refusal.verdict.value,
+            refusal.detail,
+            None if wait is None else wait // MICROS_PER_MILLI,
+            0,
+            0,
+            state.version,
+        )
+    )
+
+
+def _deliver(state: GatewayState, call: Call, event: TargetAnswered) -> None:
+    del state.calls[call.number]
+    state.perform(Deliver(call.number))
+    took = (event.now - call.arrived) // MICROS_PER_MILLI
+    sends = len(call.sends)
+    state.report(
+        RequestAnswered(
+            call.request_id,
+            call.account_name,
+            call.service,
+            call.route.idempotent,
+            call.target,
+            event.status,
+            took,
+            sends,
+        )
+    )
+
+
+def _handle_bad_answer(state: GatewayState, call: Call, event: TargetAnswered) -> None:
+    """Handle a failure that the target made, or an answer without its mark."""
+    call.may_have_run = True
+    now = event.now
+    if call.route.idempotent and _may_retry(state, call, now):
+        failure = f"answered {event.status}"
+        verdict = Verdict.MAY_HAVE_RUN
+        _report_lost(state, call, event.attempt, failure, verdict, now)
+        _retry(state, call, now, failure)
+    elif event.sealed and event.status not in NOT_RUN_STATUSES:
+        _deliver(state, call, event)
+    else:
+        detail = f"target answered {event.status} without proof that it served"
+        refuse_call(state, call, now, 502, Reason.TARGET_FAILED, detail)
+
+
+def _retry_or_refuse(state: GatewayState, call: Call, now: int, failure: str) -> None:
+    safe = call.route.idempotent or not call.may_have_run
+    if safe and _may_retry(state, call, now):
+        _retry(state, call, now, failure)
+        return
+    status = 502 if call.may_have_run else 503
+    refuse_call(state, call, now, status, Reason.TARGET_FAILED, failure)
+
+
+def _may_retry(state: GatewayState, call: Call, now: int) -> bool:
+    if len(call.sends) >= call.route.max_attempts or not _has_time(state, call, now):
+        return False
+    allowance = state.retries.setdefault(call.service, RetryAllowance())
+    if allowance.take():
+        return True
+    left = round(allowance.left, 2)
+    state.report(RetryDenied(call.request_id, call.service, left))
+    return False
+
+
+def _retry(state: GatewayState, call: Call, now: int, failure: str) -> None:
+    left = round(state.retries[call.service].left, 2)
+    attempt = len(call.sends) + 1
+    state.report(RequestRetried(call.request_id, attempt, failure, left))
+    place_call(state, call, now)
+
+
+def _has_time(state: GatewayState, call: Call, now: int) -> bool:
+    work = state.work.get(call.route.name)
+    needed = work.read(now) * LEAST_TIME_PART if work else 0
+    return call.expires - now > needed
+
+
+def _stop_attempt(state: GatewayState, call: Call, cancel: bool) -> None:
+    if not call.attempt:
+        return
+    target = state.targets.get(call.target)
+    if target is not None:
+        target.running = max(0, target.running - 1)
+    effect = Cancel if cancel else Abandon
+    state.perform(effect(call.number, call.attempt))
+
+
+def _count_demand(state: GatewayState, call: Call, now: int) -> None:
+    meter = state.demand.setdefault(call.service, Meter(DEMAND_SPAN_US))
+    meter.count(now)
+    allowance = state.retries.setdefault(call.service, RetryAllowance())
+    bounds = state.bounds
+    allowance.earn(bounds.retry_ratio, bounds.retry_burst, count_hosts(state))
+
+
+def _report_lost(
+    state: GatewayState,
+    call: Call,
+    attempt: int,
+    failure: str,
+    verdict: Verdict,
+    now: int,
+) -> None:
+    took = (now - call.sent_at) // MICROS_PER_MILLI
+    state.report(
+        AttemptLost(call.request_id, call.target, attempt, failure, verdict.value, took)
+    )
+
+
+EVENT_HANDLERS: dict[type[GatewayEvent], object] = {
+    CallArrived: handle_call_arrived,
+    TargetAnswered: handle_target_answered,
+    AttemptFailed: handle_attempt_failed,
+    CallerLeft: handle_caller_left,
+    CallExpired: handle_call_expired,
+}
--- /dev/null
+++ b/packages/almondgap-core/almondgap_core/gateway/cold.py
@@ -0,0 +1,41 @@
+"""Requests to cold targets, few over all hosts together.
+
+Answers the load of a failure domain whose targets come back empty all at once. One host
+alone sends to a cold target, and at a steady pace: the host that ranks first for it
+among those that are heard. Hosts that disagree for a moment about who is heard each
+keep the pace, which leaves room for two of them.
+"""
+
+from __future__ import annotations
+
+from almondgap_core.gateway.fleet import list_heard
+from almondgap_core.gateway.ranking import compute_rank
+from almondgap_core.gateway.state import GatewayState
+from almondgap_core.gateway.target import Target
+from almondgap_core.units import MICROS_PER_SECOND
+
+#: Part of the rate of a cold target that its host uses.
+RATE_PART = 0.8
+
+
+def is_cold(target: Target, now: int) -> bool:
+    """Return whether a target is cold."""
+    return now < target.cold_until
+
+
+def may_warm(state: GatewayState, target: Target, now: int) -> bool:
+    """Return whether this host may send a request to a cold target now."""
+    if now < target.cold_next:
+        return False
+    hosts = [state.place.host]
+    hosts += [peer.place.host for peer in list_heard(state, now) if peer.beat.ready]
+    first = max(hosts, key=lambda host: compute_rank(host, target.name))
+    return first == state.place.host
+
+
+def note_warming(state: GatewayState, target: Target, now: int) -> None:
+    """Set the time of the next request to a cold target."""
+    service = state.configuration.services.get(target.announced.service)
+    rate = service.cold_rate * RATE_PART if service else 0.0
+    pause = MICROS_PER_SECOND / rate if rate > 0 else MICROS_PER_SECOND
+    target.cold_next = now + round(pause)
--- /dev/null
+++ b/packages/almondgap-core/almondgap_core/gateway/overload.py
@@ -0,0 +1,64 @@
+"""Whether a request that can be sent is worth sending, and when to come back if not.
+
+Answers the load of more requests than targets can serve within the response-time goal.
+Every request beyond that would wait in a target's queue and make all those after it
+late as well, until nothing is on time. So a request is refused at once, before it is
+sent, as soon as waiting would make it late; the caller learns when the queue will be
+short enough. Less urgent requests are refused sooner than more urgent ones, so that the
+queue keeps room for these.
+"""
+
+from __future__ import annotations
+
+from almondgap_core.gateway.placement import Choice
+from almondgap_core.gateway.state import Call, GatewayState
+from almondgap_core.units import MICROS_PER_MILLI, millis
+from almondgap_core.verdict import Reason, Refusal, Verdict
+
+#: Part of the response-time goal that an expected answer may take if it has to wait,
+#: by priority; the last holds for all that are less urgent.
+GOAL_PARTS = (1.0, 0.95, 0.9)
+
+#: Part of the time of a request that an expected answer may take in any case.
+TIME_PART = 0.95
+
+#: Least time after which a caller is told to come back, and what is added at random so
+#: that those who were refused together do not come back together.
+LEAST_WAIT_US = millis(100)
+SPREAD_US = millis(150)
+
+
+def judge(state: GatewayState, call: Call, choice: Choice, now: int) -> Refusal | None:
+    """Return why a request is not sent to the target chosen, None if it is sent."""
+    left = call.expires - now
+    goal = call.arrived + call.route.goal - now
+    priority = find_priority(call)
+    part = GOAL_PARTS[min(priority, len(GOAL_PARTS) - 1)]
+    waits = choice.queued > 0
+    late = waits and choice.expected > goal * part
+    hopeless = choice.expected > left * TIME_PART
+    if not late and not hopeless:
+        return None
+    if not waits and not late and call.sends == []:
+        # Nothing waits there: work that seems too long is still tried, since the
+        # expectation is an average and the object becomes warm.
+        return None
+    over = choice.expected - max(0, goal * part)
+    wait = max(LEAST_WAIT_US, round(min(over, choice.queued)))
+    wait += state.draw(SPREAD_US)
+    detail = (
+        f"best target {choice.target.name} would answer in "
+        f"{choice.expected // MICROS_PER_MILLI} ms, "
+        f"{choice.queued // MICROS_PER_MILLI} ms of it waiting; "
+        f"goal {goal // MICROS_PER_MILLI} ms, left {left // MICROS_PER_MILLI} ms"
+    )
+    verdict = Verdict.MAY_HAVE_RUN if call.may_have_run else Verdict.NOT_RUN
+    status = 502 if call.may_have_run else 503
+    return Refusal(status, Reason.NO_CAPACITY, verdict, detail, wait)
+
+
+def find_priority(call: Call) -> int:
+    """Return the rank of a request; its account's goes before its route's."""
+    if call.account is not None and call.account.priority is not None:
+        return call.account.priority
+    return call.route.priority
--- /dev/null
+++ b/packages/almondgap-core/almondgap_core/gateway/placement.py
@@ -0,0 +1,182 @@
+"""Which target serves a request.
+
+Answers the load of a few much asked objects on targets that serve fastest what they
+served lately, while targets slow down, fail or fill up: each target is rated by the
+time in which it would answer, from the work (little if the object is warm there), its
+own pace, the requests it is thought to have, its failures and its distance.
+"""
+
+from __future__ import annotations
+
+from attrs import frozen
+
+from almondgap_core.gateway.cold import is_cold, may_warm
+from almondgap_core.gateway.ranking import compute_rank
+from almondgap_core.gateway.state import Call, GatewayState
+from almondgap_core.gateway.target import LEAST_PACE, MOST_PACE, Average, Target
+from almondgap_core.units import millis
+
+#: Work on an object that is not warm, in relation to one that is.
+UNWARMED = 3.0
+
+#: Work in relation to a warm object by the rank of the target. The first two of an
+#: object get it often enough to keep it; those after them now and then.
+WORK_BY_RANK = (1.0, 1.05, 1.5, 2.0)
+
+#: Part of the response-time goal that a warm request is taken to need before any has
+#: been measured.
+FIRST_WORK = 0.45
+
+#: Time there and back to a target in the same failure domain, another one, and another
+#: region, as the users give them.
+SAME_DOMAIN_US = millis(0.2)
+SAME_REGION_US = millis(7)
+OTHER_REGION_US = millis(24)
+
+#: What a sure failure adds to the rating, in response-time goals: the request is lost
+#: or waits for a second answer.
+FAILURE_COST = 3.0
+
+#: Targets of an order that are rated, and others that are drawn beside them.
+MOST_RATED = 10
+MOST_DRAWN = 6
+
+#: Objects whose order is kept.
+MOST_RANKS = 4_000
+
+
+@frozen
+class Choice:
+    """A target for a request and what is expected of it.
+
+    :ivar cost: rating of the target, less is better; microseconds.
+    :ivar expected: time in which an answer is expected, in microseconds.
+    :ivar queued: part of that time in which the request waits.
+    """
+
+    target: Target
+    cost: float
+    expected: int
+    queued: int
+
+
+def choose_target(
+    state: GatewayState, call: Call, now: int, region: str | None
+) -> Choice | None:
+    """Return the target that would answer soonest, None if none can be used.
+
+    :param region: region of the target, None for any that is allowed.
+    """
+    thing = call.thing if call.route.sticky else ""
+    ranked = _rank_targets(state, call, thing, region)
+    rated = _pick_rated(state, call, ranked, thing, now)
+    work = find_work(state, call.route).read(now)
+    best: Choice | None = None
+    for rank, target in rated:
+        if not is_usable(state, target, now):
+            continue
+        choice = _rate(state, call, target, rank, work, now)
+        if best is None or choice.cost < best.cost:
+            best = choice
+    return best
+
+
+def is_usable(state: GatewayState, target: Target, now: int) -> bool:
+    """Return whether a target may get a request now."""
+    if target.down_since is not None or now < target.full_until:
+        return False
+    return not is_cold(target, now) or may_warm(state, target, now)
+
+
+def is_candidate(state: GatewayState, target: Target) -> bool:
+    """Return whether a target is there to be used, however it fares."""
+    announced = target.announced
+    return not announced.draining and announced.failure_domain not in state.evacuated
+
+
+def find_work(state: GatewayState, route) -> Average:
+    """Return the time that a warm request of a route keeps a target busy."""
+    work = state.work.get(route.name)
+    if work is None:
+        first = route.goal * FIRST_WORK
+        work = state.work[route.name] = Average(first, first)
+    return work
+
+
+def list_regions(state: GatewayState, call: Call) -> set[str]:
+    """Return the regions in which a request may be served."""
+    regions = {*state.regions.values(), state.place.region}
+    if call.route.regions:
+        regions &= call.route.regions
+    if call.account is not None and call.account.regions:
+        regions &= call.account.regions
+    return regions
+
+
+def _rank_targets(
+    state: GatewayState, call: Call, thing: str, region: str | None
+) -> list[Target]:
+    allowed = frozenset(list_regions(state, call))
+    if region is not None:
+        allowed &= {region}
+    key = (call.service, allowed, call.route.name if thing else "", thing)
+    kept = state.ranks.get(key)
+    if kept is not None and kept[0] == state.epoch:
+        return kept[1]
+    targets = [
+        target
+        for target in state.targets.values()
+        if target.announced.service == call.service
+        and is_candidate(state, target)
+        and state.find_region(target.announced.failure_domain) in allowed
+    ]
+    if thing:
+        name = f"{call.route.name}\0{thing}"
+        targets.sort(key=lambda target: -compute_rank(name, target.name))
+    if len(state.ranks) >= MOST_RANKS:
+        state.ranks.clear()
+    state.ranks[key] = (state.epoch, targets)
+    return targets
+
+
+def _pick_rated(
+    state: GatewayState, call: Call, ranked: list[Target], thing: str, now: int
+) -> list[tuple[int, Target]]:
+    fresh = [
+        (rank, target)
+        for rank, target in enumerate(ranked)
+        if target.name not in call.sends
+    ]
+    if len(fresh) <= MOST_RATED + MOST_DRAWN:
+        return fresh
+    head = fresh[:MOST_RATED] if thing else []
+    rest = fresh[len(head) :]
+    drawn = MOST_RATED + MOST_DRAWN - len(head)
+    return head + [rest[state.draw(len(rest))] for _ in range(drawn)]
+
+
+def _rate(
+    state: GatewayState, call: Call, target: Target, rank: int, work: float, now: int
+) -> Choice:
+    announced = target.announced
+    if call.thing and call.route.sticky:
+        if rank < len(WORK_BY_RANK):
+            work *= WORK_BY_RANK[rank]
+        elif not target.is_warm(call.thing, now):
+            work *= UNWARMED
+    work *= min(max(target.pace.read(now), LEAST_PACE), MOST_PACE)
+    slots = max(1, announced.slots)
+    waiting = max(0.0, target.compute_load(now) + 1 - slots)
+    queued = work * waiting / slots
+    failing = target.failing.read(now) * FAILURE_COST * call.route.goal
+    distance = _find_distance(state, announced.failure_domain)
+    expected = work + queued + distance
+    return Choice(target, expected + failing, round(expected), round(queued))
+
+
+def _find_distance(state: GatewayState, failure_domain: str) -> int:
+    if failure_domain == state.place.failure_domain:
+        return SAME_DOMAIN_US
+    if state.find_region(failure_domain) == state.place.region:
+        return SAME_REGION_US
+    return OTHER_REGION_US
--- /dev/null
+++ b/packages/almondgap-core/almondgap_core/gateway/ranking.py
@@ -0,0 +1,15 @@
+"""Ranks by hashing: every host finds the same order without asking another.
+
+Rendezvous hashing: a target that joins or leaves changes the order of the others for
+no object.
+"""
+
+from __future__ import annotations
+
+from hashlib import blake2b
+
+
+def compute_rank(thing: str, name: str) -> int:
+    """Return the rank of a name for an object; the greatest comes first."""
+    digest = blake2b(f"{thing}\0{name}".encode(), digest_size=8).digest()
+    return int.from_bytes(digest, "big")
--- /dev/null
+++ b/packages/almondgap-core/almondgap_core/gateway/rollout.py
@@ -0,0 +1,29 @@
+"""Taking a configuration into force: only ever a newer one."""
+
+from __future__ import annotations
+
+from almondgap_core.gateway.events import ConfigurationRead, GatewayEvent
+from almondgap_core.gateway.reports import ConfigurationChanged
+from almondgap_core.gateway.state import GatewayState
+
+
+def handle_configuration_read(state: GatewayState, event: ConfigurationRead) -> None:
+    """Take a newer configuration into force; an older one never comes back."""
+    cfg = event.configuration
+    previous = state.version
+    if state.configuration is not None and cfg.version <= previous:
+        return
+    state.configuration = cfg
+    state.epoch += 1
+    for name in [name for name in state.allotments if name not in cfg.accounts]:
+        del state.allotments[name]
+    if not previous:
+        state.next_beat = event.now
+    state.report(
+        ConfigurationChanged(cfg.version, previous, len(cfg.routes), len(cfg.accounts))
+    )
+
+
+EVENT_HANDLERS: dict[type[GatewayEvent], object] = {
+    ConfigurationRead: handle_configuration_read
+}
--- /dev/null
+++ b/packages/almondgap-core/almondgap_core/gateway/state.py
@@ -0,0 +1,156 @@
+"""The state of a gateway, as its reducer sees it."""
+
+from __future__ import annotations
+
+from attrs import Factory, define, frozen
+
+from almondgap_core.gateway.allotments import Allotment
+from almondgap_core.gateway.beats import Beat, HostPlace, Meter
+from almondgap_core.gateway.configuration import Account, Configuration, Route
+from almondgap_core.gateway.effects import GatewayEffect, Log
+from almondgap_core.gateway.regions import RegionSplit
+from almondgap_core.gateway.reports import Report
+from almondgap_core.gateway.retries import RetryAllowance
+from almondgap_core.gateway.target import Average, Target
+from almondgap_core.units import seconds
+
+
+@frozen
+class Bounds:
+    """What the platform's operators allow all hosts together; times in microseconds.
+
+    :ivar retry_ratio: repeated sends for each request of a service.
+    :ivar retry_burst: repeated sends beyond that.
+    :ivar max_shift: share of a region's requests that may change region in 2 s.
+    :ivar return_time: how long entries of living targets may be missing after the
+        store was away.
+    """
+
+    retry_ratio: float = 0.2
+    retry_burst: float = 20.0
+    max_shift: float = 0.15
+    return_time: int = seconds(2)
+
+
+@define
+class Call:
+    """A caller's request that this host works on.
+
+    :ivar expires: when it gets an answer in any case.
+    :ivar deadline: when its caller stops waiting.
+    :ivar sends: targets to which it was sent, in order.
+    :ivar connects: targets to which no connection came about.
+    :ivar attempt: number of the attempt that runs now, 0 if none does.
+    :ivar may_have_run: whether an attempt may have run at a target.
+    :ivar sent_at: when the attempt that runs now was sent.
+    :ivar expected: time in which its answer was expected, in microseconds.
+    """
+
+    number: int
+    request_id: str
+    arrived: int
+    expires: int
+    deadline: int
+    route: Route
+    account: Account | None
+    service: str
+    thing: str
+    sends: list[str] = Factory(list)
+    connects: int = 0
+    attempt: int = 0
+    may_have_run: bool = False
+    sent_at: int = 0
+    expected: int = 0
+
+    @property
+    def account_name(self) -> str:
+        """Name of the client account, empty without one."""
+        return self.account.name if self.account else ""
+
+    @property
+    def target(self) -> str:
+        """Target of the newest attempt, empty before the first."""
+        return self.sends[-1] if self.sends else ""
+
+
+@define
+class Peer:
+    """Another host as this one knows it.
+
+    :ivar heard: when it last told something, None if never.
+    :ivar told: when this host last told it something.
+    :ivar lost: whether it was reported as silent.
+    """
+
+    place: HostPlace
+    incarnation: int = 0
+    beat: Beat | None = None
+    heard: int | None = None
+    told: int = 0
+    lost: bool = False
+
+
+@define
+class GatewayState:
+    """Everything that a gateway knows and decides from.
+
+    :ivar regions: region of each failure domain.
+    :ivar work: time that a target takes for a request of a route, without waiting.
+    :ivar epoch: number that changes whenever the set of usable targets does.
+    :ivar ranks: targets in order for an object, as long as the epoch lasts.
+    :ivar late: targets that the store no longer holds, and when they count as gone.
+    :ivar splits: how this region's requests are shared over regions, by service.
+    """
+
+    place: HostPlace
+    incarnation: int
+    regions: dict[str, str]
+    bounds: Bounds = Factory(Bounds)
+    seed: int = 1
+    stopping: bool = False
+    configuration: Configuration | None = None
+    evacuated: frozenset[str] = frozenset()
+    targets: dict[str, Target] = Factory(dict)
+    epoch: int = 0
+    ranks: dict[tuple, tuple[int, list[Target]]] = Factory(dict)
+    late: dict[str, int] = Factory(dict)
+    store_lost: int | None = None
+    store_regained: int | None = None
+    peers: dict[str, Peer] = Factory(dict)
+    beat_sequence: int = 0
+    next_beat: int = 0
+    calls: dict[int, Call] = Factory(dict)
+    allotments: dict[str, Allotment] = Factory(dict)
+    retries: dict[str, RetryAllowance] = Factory(dict)
+    demand: dict[str, Meter] = Factory(dict)
+    work: dict[str, Average] = Factory(dict)
+    splits: dict[str, RegionSplit] = Factory(dict)
+    backend_credit: dict[str, dict[str, float]] = Factory(dict)
+    effects: list[GatewayEffect] = Factory(list)
+
+    @property
+    def ready(self) -> bool:
+        """Whether callers may be sent to this host."""
+        return self.configuration is not None and not self.stopping
+
+    @property
+    def version(self) -> int:
+        """Version of the configuration in force, 0 without one."""
+        return self.configuration.version if self.configuration else 0
+
+    def perform(self, effect: GatewayEffect) -> None:
+        """Add an effect to those that the step returns."""
+        self.effects.append(effect)
+
+    def report(self, report: Report) -> None:
+        """Add a line to the log."""
+        self.effects.append(Log(report))
+
+    def draw(self, bound: int) -> int:
+        """Return the next pseudo-random integer from 0 to ``bound`` - 1."""
+        self.seed = (self.seed * 6364136223846793005 + 1442695040888963407) % 2**64
+        return (self.seed >> 33) % bound
+
+    def find_region(self, failure_domain: str) -> str:
+        """Return the region of a failure domain; an unknown one is its own region."""
+        return self.regions.get(failure_domain, failure_domain)
--- a/packages/almondgap-core/almondgap_core/verdict.py
+++ b/packages/almondgap-core/almondgap_core/verdict.py
@@ -22,6 +22,7 @@
     """Why a request was refused, in the words of the JSON body."""
 
     UNKNOWN_SERVICE = "unknown-service"
+    NO_ROUTE = "no-route"
     METHOD_NOT_ALLOWED = "method-not-allowed"
     KEY_MISSING = "key-missing"
     KEY_UNKNOWN = "key-unknown"
--- /dev/null
+++ b/packages/almondgap-daemon/almondgap_daemon/gateway/metrics.py
@@ -0,0 +1,113 @@
+"""Counters and latency histograms, by client account, kind of request and service."""
+
+from __future__ import annotations
+
+from bisect import bisect_left
+
+from attrs import Factory, define, field, frozen
+
+from almondgap_core.gateway.reports import Report, RequestAnswered, RequestRefused
+
+#: Upper bounds of the classes of latency, in seconds: they divide the goals of today,
+#: 0.25 to 0.8 s, and the time-outs, up to 6 s.
+LATENCY_BOUNDS_S = (0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 0.8, 1.2, 2.0, 4.0, 8.0)
+
+
+@frozen
+class Labels:
+    """What tells one series of figures from another.
+
+    :ivar kind: ``idempotent`` or ``once``.
+    """
+
+    account: str
+    kind: str
+    service: str
+
+
+@define
+class Histogram:
+    """Counts of latencies by class."""
+
+    counts: list[int] = Factory(lambda: [0] * (len(LATENCY_BOUNDS_S) + 1))
+    total_s: float = 0.0
+
+    def add(self, latency_s: float) -> None:
+        """Count a latency in seconds."""
+        self.counts[bisect_left(LATENCY_BOUNDS_S, latency_s)] += 1
+        self.total_s += latency_s
+
+
+@define
+class GatewayMetrics:
+    """The figures of one host since its start."""
+
+    latencies: dict[Labels, Histogram] = Factory(dict)
+    refusals: dict[tuple[Labels, str], int] = Factory(dict)
+    gauges: dict[str, float] = Factory(dict)
+    _registry: object = field(init=False, default=None)
+
+    def note_report(self, report: Report) -> None:
+        """Count an answer that a caller got; other reports count nothing."""
+        if isinstance(report, RequestAnswered):
+            labels = _make_labels(report)
+            histogram = self.latencies.get(labels)
+            if histogram is None:
+                histogram = self.latencies[labels] = Histogram()
+            histogram.add(report.took_ms / 1000)
+        elif isinstance(report, RequestRefused):
+            key = (_make_labels(report), report.reason)
+            self.refusals[key] = self.refusals.get(key, 0) + 1
+
+    def render(self) -> bytes:
+        """Return all figures in the text format of metrics scrapers."""
+        # Loaded on the first question: a host that is to listen soon has no use for it.
+        from prometheus_client import CollectorRegistry, generate_latest
+
+        if self._registry is None:
+            self._registry = CollectorRegistry()
+            self._registry.register(self)
+        return generate_latest(self._registry)
+
+    def collect(self):
+        """Yield all figures, as the metrics library asks for them."""
+        from prometheus_client.core import (
+            CounterMetricFamily,
+            GaugeMetricFamily,
+            HistogramMetricFamily,
+        )
+
+        names = ["account", "kind", "service"]
+        answers = HistogramMetricFamily(
+            "almondgap_answer_seconds",
+            "Time from a request to its answer by a target.",
+            labels=names,
+        )
+        for labels, histogram in self.latencies.items():
+            buckets, below = [], 0
+            for bound, count in zip(
+                (*map(str, LATENCY_BOUNDS_S), "+Inf"), histogram.counts, strict=True
+            ):
+                below += count
+                buckets.append((bound, below))
+            answers.add_metric(_values(labels), buckets, histogram.total_s)
+        yield answers
+        refusals = CounterMetricFamily(
+            "almondgap_refusals",
+            "Answers of the host's own, by reason.",
+            labels=[*names, "reason"],
+        )
+        for (labels, reason), count in self.refusals.items():
+            refusals.add_metric([*_values(labels), reason], count)
+        yield refusals
+        for name, value in self.gauges.items():
+            yield GaugeMetricFamily(f"almondgap_{name}", name, value=value)
+
+
+def _make_labels(report: RequestAnswered | RequestRefused) -> Labels:
+    kind = "idempotent" if report.idempotent else "once"
+    return Labels(report.account, kind, report.service)
+
+
+def _values(labels: Labels) -> list[str]:
+    return [labels.account, labels.kind, labels.service]
--- /dev/null
+++ b/packages/almondgap-daemon/almondgap_daemon/http/connection.py
@@ -0,0 +1,244 @@
+"""One connection to a server: one request at a time."""
+
+from __future__ import annotations
+
+import socket
+from collections.abc import Callable
+
+import h11
+from attrs import define, frozen
+from twisted.internet.defer import Deferred
+from twisted.internet.error import ConnectionDone
+from twisted.internet.protocol import Protocol
+
+from almondgap_daemon.http.answer import (
+    Answer,
+    BrokenOff,
+    Garbled,
+    RawHeaders,
+    find_header,
+)
+
+#: Time without an acknowledgement of bytes sent after which a connection counts as
+#: broken, in milliseconds: hosts must notice a silent peer within three seconds.
+USER_TIMEOUT_MS = 2_000
+
+#: Time without traffic after which a connection is probed, time between probes, in
+#: seconds, and probes without an answer that break it.
+KEEPALIVE_IDLE_S = 1
+KEEPALIVE_INTERVAL_S = 1
+KEEPALIVE_PROBES = 2
+
+#: Longest body of an answer that is taken, in bytes.
+MOST_BODY_BYTES = 16 * 1024 * 1024
+
+#: Request bodies above this size leave the connection unfit for another request if the
+#: answer came early: the rest of the body might still be due.
+SMALL_BODY_BYTES = 16 * 1024
+
+#: Answers of earlier requests that are skipped before the connection is given up.
+MOST_SKIPPED = 2
+
+CHUNK_HEADERS = (b"transfer-encoding",)
+
+
+@frozen
+class Request:
+    """A request to be sent.
+
+    :ivar belongs: whether an answer with these headers is the one to this request.
+    """
+
+    method: bytes
+    target: bytes
+    headers: RawHeaders
+    body: bytes = b""
+    belongs: Callable[[RawHeaders], bool] | None = None
+
+
+@define(eq=False)
+class ClientConnection(Protocol):
+    """A connection that sends a request and reads its answer whole.
+
+    :ivar idle_since: when its last answer was read, on the reactor's clock.
+    :ivar idle_timeout: seconds for which the server keeps it open, None if not told.
+    :ivar reusable: whether it is fit for another request.
+    """
+
+    on_idle_end: Callable[[ClientConnection], None] | None = None
+    idle_since: float = 0.0
+    idle_timeout: float | None = None
+    reusable: bool = False
+    open: bool = False
+    _request: Request | None = None
+    _waiting: Deferred | None = None
+    _http: h11.Connection | None = None
+    _head: h11.Response | None = None
+    _body: list[bytes] | None = None
+    _size: int = 0
+    _skipped: int = 0
+
+    def connectionMade(self) -> None:  # noqa: N802
+        """Set the limits after which a silent connection counts as broken."""
+        self.open = True
+        set_timeouts(self.transport)
+
+    def send(self, request: Request) -> Deferred[Answer]:
+        """Send a request; the result is its answer, BrokenOff or Garbled."""
+        self.reusable = False
+        self._request = request
+        self._skipped = 0
+        self._waiting = Deferred()
+        waiting = self._waiting
+        try:
+            data = self._begin()
+        except h11.LocalProtocolError as exc:
+            self._fail(Garbled(f"request cannot be sent: {exc}"))
+        else:
+            self.transport.write(data)
+        return waiting
+
+    def abort(self) -> None:
+        """Break the connection off; a request that waits gets no result."""
+        self._waiting = None
+        self.open = False
+        if self.transport is not None:
+            self.transport.abortConnection()
+
+    def close(self) -> None:
+        """Close an idle connection."""
+        self.open = False
+        self.reusable = False
+        if self.transport is not None:
+            self.transport.loseConnection()
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        """Read on; bytes that no request asked for make the connection unfit."""
+        if self._waiting is None:
+            self._drop_idle()
+            return
+        self._http.receive_data(data)
+        self._read()
+
+    def connectionLost(self, reason) -> None:  # noqa: N802
+        """Fail the request that waits, unless its answer ends with the connection."""
+        self.open = False
+        if self._waiting is None:
+            self._leave_pool()
+            return
+        if reason.check(ConnectionDone) and self._head is not None:
+            self._http.receive_data(b"")
+            self._read()
+        if self._waiting is not None:
+            self._fail(BrokenOff(reason.getErrorMessage()))
+
+    def _begin(self) -> bytes:
+        """Start reading an answer to the request; return the request's bytes."""
+        request = self._request
+        self._http = h11.Connection(h11.CLIENT)
+        self._head = None
+        self._body = []
+        self._size = 0
+        head = h11.Request(
+            method=request.method, target=request.target, headers=request.headers
+        )
+        data = self._http.send(head)
+        if request.body:
+            data += self._http.send(h11.Data(data=request.body))
+        return data + self._http.send(h11.EndOfMessage())
+
+    def _read(self) -> None:
+        try:
+            while self._waiting is not None:
+                event = self._http.next_event()
+                if event is h11.NEED_DATA or event is h11.PAUSED:
+                    return
+                self._take(event)
+        except h11.RemoteProtocolError as exc:
+            self._fail(Garbled(f"no answer in HTTP: {exc}"))
+
+    def _take(self, event) -> None:
+        if isinstance(event, h11.Response):
+            self._head = event
+        elif isinstance(event, h11.Data):
+            self._body.append(bytes(event.data))
+            self._size += len(event.data)
+            if self._size > MOST_BODY_BYTES:
+                self._fail(Garbled("answer is too long"))
+        elif isinstance(event, h11.EndOfMessage):
+            self._end_answer()
+        elif isinstance(event, h11.ConnectionClosed):
+            self._fail(BrokenOff("closed before the answer"))
+
+    def _end_answer(self) -> None:
+        headers = self._head.headers.raw_items()
+        belongs = self._request.belongs
+        if belongs is not None and not belongs(headers):
+            self._skip()
+            return
+        answer = Answer(
+            self._head.status_code, self._head.reason, headers, b"".join(self._body)
+        )
+        surplus, closed = self._http.trailing_data
+        small = len(self._request.body) <= SMALL_BODY_BYTES
+        both_done = (
+            self._http.their_state is h11.DONE and self._http.our_state is h11.DONE
+        )
+        self.reusable = self.open and both_done and small and not surplus and not closed
+        self.idle_timeout = read_keep_alive(headers)
+        waiting, self._waiting = self._waiting, None
+        if not self.reusable:
+            self.close()
+        waiting.callback(answer)
+
+    def _skip(self) -> None:
+        """Pass over an answer to an earlier request, which may stand before ours."""
+        self._skipped += 1
+        rest, closed = self._http.trailing_data
+        framed = self._http.their_state is h11.DONE
+        if self._skipped > MOST_SKIPPED or closed or not framed:
+            self._fail(Garbled("answer belongs to another request"))
+            return
+        self._begin()
+        if rest:
+            self._http.receive_data(rest)
+
+    def _fail(self, exc: Exception) -> None:
+        waiting, self._waiting = self._waiting, None
+        self.reusable = False
+        if self.open:
+            self.open = False
+            self.transport.abortConnection()
+        waiting.errback(exc)
+
+    def _drop_idle(self) -> None:
+        self.reusable = False
+        self.open = False
+        self.transport.abortConnection()
+        self._leave_pool()
+
+    def _leave_pool(self) -> None:
+        self.reusable = False
+        if self.on_idle_end is not None:
+            self.on_idle_end(self)
+
+
+def set_timeouts(transport) -> None:
+    """Let the system notice when the other side of a connection falls silent."""
+    transport.setTcpNoDelay(True)
+    handle = transport.getHandle()
+    handle.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    handle.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
+    handle.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
+    handle.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
+    handle.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+
+
+def read_keep_alive(headers: RawHeaders) -> float | None:
+    """Return the idle time in seconds that a server tells, None if it does not."""
+    value = find_header(headers, b"keep-alive")
+    for part in (value or b"").split(b","):
+        name, _, number = part.strip().partition(b"=")
+        if name.lower() == b"timeout" and number.isdigit():
+            return float(number)
+    return None
--- /dev/null
+++ b/packages/almondgap-daemon/almondgap_daemon/http/server.py
@@ -0,0 +1,250 @@
+"""The server's side of a connection: requests in, answers out, one at a time."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from http import HTTPStatus
+from typing import Protocol as TypingProtocol
+
+import h11
+from attrs import Factory, define, field
+from twisted.internet.protocol import Factory as ProtocolFactory
+from twisted.internet.protocol import Protocol
+
+from almondgap_daemon.http.answer import RawHeaders
+from almondgap_daemon.http.connection import set_timeouts
+
+
+@define(eq=False)
+class Exchange:
+    """A caller's request that was read whole, and the way back to it.
+
+    :ivar headers: names and values as they came, in order.
+    :ivar number: number that the handler gave to it.
+    """
+
+    conn: ServerConnection
+    method: bytes
+    target: bytes
+    headers: RawHeaders
+    body: bytes
+    number: int = 0
+    answered: bool = False
+
+    def answer(
+        self, status: int, reason: bytes, headers: RawHeaders, body: bytes
+    ) -> None:
+        """Answer the request; nothing happens if its caller has left."""
+        if not self.answered:
+            self.answered = True
+            self.conn.write_answer(status, reason, headers, body)
+
+
+class Handler(TypingProtocol):
+    """Takes requests off connections."""
+
+    def arrived(self, exchange: Exchange) -> None:
+        """A request was read whole."""
+
+    def left(self, exchange: Exchange) -> None:
+        """The caller closed its connection before its answer."""
+
+
+@define
+class ServerLimits:
+    """What callers may send, and how long they may take, in bytes and seconds."""
+
+    header_bytes: int = 16_384
+    body_bytes: int = 8_388_608
+    header_s: float = 3.0
+    idle_s: float = 15.0
+
+
+@define(eq=False)
+class ServerConnection(Protocol):
+    """One connection of a caller."""
+
+    factory: ServerFactory
+    _http: h11.Connection = field(init=False)
+    _head: h11.Request | None = None
+    _body: list[bytes] = Factory(list)
+    _size: int = 0
+    _exchange: Exchange | None = None
+    _timer: object = None
+    _open: bool = True
+    _in_head: bool = False
+
+    def connectionMade(self) -> None:  # noqa: N802
+        """Begin to read."""
+        limits = self.factory.limits
+        self._http = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=limits.header_bytes
+        )
+        self.factory.connections.add(self)
+        set_timeouts(self.transport)
+        self._wait(limits.idle_s)
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        """Read on."""
+        self._http.receive_data(data)
+        if self._exchange is None:
+            self._read()
+
+    def connectionLost(self, reason) -> None:  # noqa: N802
+        """Tell the handler of a request whose caller has left."""
+        self._open = False
+        self._stop_waiting()
+        self.factory.connections.discard(self)
+        exchange, self._exchange = self._exchange, None
+        if exchange is not None and not exchange.answered:
+            exchange.answered = True
+            self.factory.handler.left(exchange)
+
+    @property
+    def busy(self) -> bool:
+        """Whether a request is being read or waits for its answer."""
+        return self._exchange is not None or self._head is not None
+
+    def write_answer(
+        self, status: int, reason: bytes, headers: RawHeaders, body: bytes
+    ) -> None:
+        """Write the answer to the request at hand, and read on."""
+        self._exchange = None
+        if not self._open:
+            return
+        if self.factory.closing:
+            headers = [*headers, (b"Connection", b"close")]
+        try:
+            data = self._http.send(
+                h11.Response(status_code=status, reason=reason, headers=headers)
+            )
+            if body:
+                data += self._http.send(h11.Data(data=body))
+            data += self._http.send(h11.EndOfMessage())
+        except h11.LocalProtocolError as exc:
+            # An answer that cannot be framed must not look complete.
+            self.factory.on_error(f"answer cannot be sent: {exc}")
+            self.transport.abortConnection()
+            return
+        self.transport.write(data)
+        if self._http.our_state is h11.DONE and self._http.their_state is h11.DONE:
+            self._http.start_next_cycle()
+            self._wait(self.factory.limits.idle_s)
+            self._read()
+        else:
+            self._close()
+
+    def close_idle(self) -> None:
+        """Close the connection if no request is on it."""
+        if not self.busy:
+            self._close()
+
+    def _read(self) -> None:
+        try:
+            while self._open and self._exchange is None:
+                event = self._http.next_event()
+                if event is h11.NEED_DATA or event is h11.PAUSED:
+                    self._wait_for_more()
+                    return
+                self._take(event)
+        except h11.RemoteProtocolError as exc:
+            self._reject(exc.error_status_hint, str(exc))
+
+    def _take(self, event) -> None:
+        if isinstance(event, h11.Request):
+            self._head = event
+            self._in_head = False
+            self._body = []
+            self._size = 0
+            self._wait(self.factory.limits.idle_s)
+        elif isinstance(event, h11.Data):
+            self._size += len(event.data)
+            if self._size > self.factory.limits.body_bytes:
+                self._reject(413, "body is too long")
+                return
+            self._body.append(bytes(event.data))
+            self._wait(self.factory.limits.idle_s)
+        elif isinstance(event, h11.EndOfMessage):
+            self._stop_waiting()
+            head, self._head = self._head, None
+            self._exchange = Exchange(
+                self,
+                head.method,
+                head.target,
+                head.headers.raw_items(),
+                b"".join(self._body),
+            )
+            self._body = []
+            self.factory.handler.arrived(self._exchange)
+        elif isinstance(event, h11.ConnectionClosed):
+            self._close()
+
+    def _wait_for_more(self) -> None:
+        if self._head is None and self._http.trailing_data[0] and not self._in_head:
+            self._in_head = True
+            self._wait(self.factory.limits.header_s)
+        if self._http.they_are_waiting_for_100_continue and self._head is not None:
+            self.transport.write(
+                self._http.send(h11.InformationalResponse(status_code=100, headers=[]))
+            )
+
+    def _reject(self, status: int, detail: str) -> None:
+        """Answer bytes that are no request, and close."""
+        self.factory.on_error(f"request refused with {status}: {detail}")
+        if self._http.our_state in (h11.IDLE, h11.SEND_RESPONSE):
+            body = HTTPStatus(status).phrase.encode()
+            headers = [
+                (b"Content-Length", str(len(body)).encode()),
+                (b"Connection", b"close"),
+            ]
+            head = h11.Response(status_code=status, reason=body, headers=headers)
+            data = self._http.send(head) + self._http.send(h11.Data(data=body))
+            self.transport.write(data + self._http.send(h11.EndOfMessage()))
+        self._close()
+
+    def _close(self) -> None:
+        self._open = False
+        self._stop_waiting()
+        self.transport.loseConnection()
+
+    def _wait(self, delay: float) -> None:
+        self._stop_waiting()
+        self._timer = self.factory.reactor.callLater(delay, self._time_out)
+
+    def _stop_waiting(self) -> None:
+        if self._timer is not None and self._timer.active():
+            self._timer.cancel()
+        self._timer = None
+
+    def _time_out(self) -> None:
+        self._timer = None
+        if self._head is not None or self._in_head:
+            self._reject(408, "the rest of the request did not come")
+        else:
+            self._close()
+
+
+@define(eq=False)
+class ServerFactory(ProtocolFactory):
+    """Makes a connection for each caller.
+
+    :ivar closing: whether connections are closed after the answer at hand.
+    :ivar on_error: what is told of callers that break the protocol.
+    """
+
+    reactor: object
+    handler: Handler
+    on_error: Callable[[str], None]
+    limits: ServerLimits = Factory(ServerLimits)
+    closing: bool = False
+    connections: set[ServerConnection] = Factory(set)
+    noisy = False
+
+    def buildProtocol(self, addr) -> ServerConnection:  # noqa: N802
+        """Return the protocol of a new connection."""
+        return ServerConnection(self)
+
+    def close_idle(self) -> None:
+        """Close all connections on which no request is."""
+        for conn in list(self.connections):
+            conn.close_idle()
--- a/packages/almondgap-daemon/almondgap_daemon/main.py
+++ b/packages/almondgap-daemon/almondgap_daemon/main.py
@@ -24,8 +24,8 @@
 from almondgap_daemon.node import Node
 from almondgap_daemon.operators import OperatorApi
 from almondgap_daemon.peers import PeerLinks, PeerReceiverFactory
-from almondgap_daemon.platform import open_platform
 from almondgap_daemon.settings import Listener, Settings
+from almondgap_daemon.tables import open_platform
 
 log = structlog.get_logger(__name__)
 
--- a/packages/almondgap-daemon/almondgap_daemon/platform/__init__.py
+++ b/packages/almondgap-daemon/almondgap_daemon/platform/__init__.py
@@ -1,15 +1,4 @@
-"""Adapters to the platform: over HTTP, in memory, and in a folder."""
+"""Names, formats and calls of the users' platform; nothing here decides.
 
-from __future__ import annotations
-
-from almondgap_daemon.platform.folder import FolderPlatform
-from almondgap_daemon.platform.http import HttpPlatform
-
-Platform = FolderPlatform | HttpPlatform
-
-
-def open_platform(cfg) -> Platform:
-    """Return the platform that the settings name."""
-    if cfg.kind == "file":
-        return FolderPlatform.from_config(cfg)
-    return HttpPlatform.from_config(cfg)
+Wire names are decoded once, here, into types whose fields say what they hold.
+"""
--- /dev/null
+++ b/packages/almondgap-daemon/almondgap_daemon/platform/settings.py
@@ -0,0 +1,157 @@
+"""The settings of a host on the platform."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import Any
+
+import pyjson5
+from attrs import frozen
+
+from almondgap_core.exceptions import ConfigurationError
+from almondgap_core.gateway.beats import HostPlace
+from almondgap_core.gateway.state import Bounds
+from almondgap_core.units import seconds
+
+#: Variable that holds the path of the settings file.
+SETTINGS_VARIABLE = "ALMONDGAP_BOOT"
+
+#: Port of the page of metrics, as ``deploy/system.toml`` names it.
+METRICS_PORT = 9464
+
+LOG_LEVELS = ("debug", "info", "warning", "error")
+
+
+@frozen
+class HostSettings:
+    """What a host is told at its start; addresses with their ports.
+
+    :ivar regions: region of each failure domain.
+    :ivar grace: time from a request to stop until the process is killed, in seconds.
+    :ivar answer_ttl: time for which callers keep an answer of the directory, seconds.
+    :ivar lines_per_s: log lines about requests that are written in a second.
+    """
+
+    place: HostPlace
+    readiness: str
+    directory: str
+    store: str
+    regions: dict[str, str]
+    bounds: Bounds
+    grace: float
+    answer_ttl: float
+    log_level: str
+    lines_per_s: int
+
+    @classmethod
+    def from_file(cls, path: Path) -> HostSettings:
+        """Return the settings in a file of JSON with comments.
+
+        :raises ConfigurationError: the file cannot be read or used.
+        """
+        try:
+            document = pyjson5.decode(path.read_text())
+        except (OSError, UnicodeDecodeError) as exc:
+            raise ConfigurationError(f"settings cannot be read: {exc}") from exc
+        except pyjson5.Json5Exception as exc:
+            raise ConfigurationError(f"settings are no JSON: {exc}") from exc
+        return cls.from_config(document)
+
+    @classmethod
+    def from_config(cls, document: Any) -> HostSettings:
+        """Return checked settings.
+
+        :raises ConfigurationError: something is missing or of the wrong type.
+        """
+        top = _Section("", document)
+        listen = top.section("listen")
+        limits = top.section("limits")
+        level = top.text("log_level")
+        if level not in LOG_LEVELS:
+            raise ConfigurationError(f"log_level: {level!r} is none of {LOG_LEVELS}")
+        failure_domain = top.text("failure_domain")
+        ports = top.numbers("peer_ports")
+        place = HostPlace(
+            top.text("host"),
+            failure_domain,
+            top.text("region"),
+            listen.text("callers"),
+            f"{top.text('address')}:{int(ports[0])}",
+        )
+        regions = top.texts("regions")
+        if regions.get(failure_domain) != place.region:
+            raise ConfigurationError(
+                f"regions: {failure_domain} is not listed in region {place.region}"
+            )
+        bounds = Bounds(
+            retry_ratio=limits.number("retry_ratio"),
+            retry_burst=limits.number("retry_burst"),
+            max_shift=limits.number("max_shift"),
+            return_time=seconds(limits.number("return_s")),
+        )
+        return cls(
+            place=place,
+            readiness=listen.text("readiness"),
+            directory=listen.text("directory"),
+            store=top.text("store"),
+            regions=regions,
+            bounds=bounds,
+            grace=limits.number("grace_s"),
+            answer_ttl=min(top.number("answer_ttl_s"), limits.number("most_ttl_s")),
+            log_level=level,
+            lines_per_s=int(top.number("log_lines_per_s")),
+        )
+
+
+@frozen
+class _Section:
+    """A table of settings, with the name that errors give."""
+
+    name: str
+    values: Any
+
+    def section(self, key: str) -> _Section:
+        values = self._get(key)
+        if not isinstance(values, dict):
+            raise ConfigurationError(f"{self._name(key)}: not a table")
+        return _Section(self._name(key), values)
+
+    def text(self, key: str) -> str:
+        value = self._get(key)
+        if not isinstance(value, str) or not value:
+            raise ConfigurationError(f"{self._name(key)}: not a text")
+        return value
+
+    def number(self, key: str) -> float:
+        value = self._get(key)
+        if isinstance(value, bool) or not isinstance(value, int | float) or value < 0:
+            raise ConfigurationError(f"{self._name(key)}: not a number of 0 or more")
+        return float(value)
+
+    def numbers(self, key: str) -> list[float]:
+        values = self._get(key)
+        numeric = isinstance(values, list) and all(
+            isinstance(value, int) and not isinstance(value, bool) for value in values
+        )
+        if not numeric or not values:
+            raise ConfigurationError(f"{self._name(key)}: not a list of numbers")
+        return values
+
+    def texts(self, key: str) -> dict[str, str]:
+        values = self._get(key)
+        texts = isinstance(values, dict) and all(
+            isinstance(value, str) for value in values.values()
+        )
+        if not texts:
+            raise ConfigurationError(f"{self._name(key)}: not a table of texts")
+        return values
+
+    def _get(self, key: str) -> Any:
+        if not isinstance(self.values, dict):
+            raise ConfigurationError("settings are not a table")
+        if key not in self.values:
+            raise ConfigurationError(f"{self._name(key)}: missing")
+        return self.values[key]
+
+    def _name(self, key: str) -> str:
+        return f"{self.name}.{key}" if self.name else key
--- a/packages/almondgap-daemon/almondgap_daemon/platform/folder.py
+++ b/packages/almondgap-daemon/almondgap_daemon/tables/folder.py
@@ -25,8 +25,8 @@
     TransactionResult,
     compute_object_name,
 )
-from almondgap_daemon.platform.codec import load_hosts, load_rows
-from almondgap_daemon.platform.memory import MemoryTables
+from almondgap_daemon.tables.codec import load_hosts, load_rows
+from almondgap_daemon.tables.memory import MemoryTables
 
 LOCK_RETRY_S = 0.01
 LOCK_TIMEOUT_S = 3.0
--- a/packages/almondgap-daemon/almondgap_daemon/platform/http.py
+++ b/packages/almondgap-daemon/almondgap_daemon/tables/http.py
@@ -23,7 +23,7 @@
     TransactionOutcome,
     TransactionResult,
 )
-from almondgap_daemon.platform.codec import (
+from almondgap_daemon.tables.codec import (
     dump_transaction,
     load_hosts,
     load_result,
--- a/packages/almondgap-testkit/almondgap_testkit/fakes/platform.py
+++ b/packages/almondgap-testkit/almondgap_testkit/fakes/platform.py
@@ -12,7 +12,7 @@
     TransactionResult,
 )
 from almondgap_core.units import millis, seconds
-from almondgap_daemon.platform.memory import MemoryTables
+from almondgap_daemon.tables.memory import MemoryTables
 from almondgap_testkit.fakes.network import PLATFORM, FakeNetwork
 
 #: Time that a call takes at the platform.
--- a/packages/almondgap-testkit/almondgap_testkit/standins/platform.py
+++ b/packages/almondgap-testkit/almondgap_testkit/standins/platform.py
@@ -12,8 +12,8 @@
 
 from almondgap_core.exceptions import PlatformError
 from almondgap_core.platform import compute_object_name
-from almondgap_daemon.platform.codec import dump_result, load_transaction
-from almondgap_daemon.platform.memory import MemoryTables
+from almondgap_daemon.tables.codec import dump_result, load_transaction
+from almondgap_daemon.tables.memory import MemoryTables
 from almondgap_testkit.standins.serving import answer_json, listen, run
 
 #: Rows read and transactions that write in a second; source: the users' brief.
--- a/tests/cli/test_configuration.py
+++ b/tests/cli/test_configuration.py
@@ -12,7 +12,7 @@
 from almondgap_cli.configuration import change_body, move_head, read_history
 from almondgap_core.exceptions import AlmondgapError, ConflictError
 from almondgap_core.platform import TransactionOutcome, TransactionResult
-from almondgap_daemon.platform.memory import MemoryPlatform
+from almondgap_daemon.tables.memory import MemoryPlatform
 from almondgap_testkit.builders import build_text
 
 
--- a/tests/daemon/test_folder_platform.py
+++ b/tests/daemon/test_folder_platform.py
@@ -16,7 +16,7 @@
     TransactionOutcome,
     Write,
 )
-from almondgap_daemon.platform.folder import HOSTS_FILE, TABLES_FILE, FolderPlatform
+from almondgap_daemon.tables.folder import HOSTS_FILE, TABLES_FILE, FolderPlatform
 
 ROW = RowKey("config", "head")
 
@@ -26,7 +26,7 @@
 from pathlib import Path
 from twisted.internet import defer, task
 from almondgap_core.platform import *
-from almondgap_daemon.platform.folder import FolderPlatform
+from almondgap_daemon.tables.folder import FolderPlatform
 
 async def count():
     platform = FolderPlatform(Path(sys.argv[1]))
