Rank targets over all regions, and let buckets hold the tolerance of a limit

And each region warmed its own targets for each object: at 20 s a third of wholesale-order still met targets that were not warm.

Change: buckets hold the burst and half of what the platform tolerates; ranks are made over all regions; the work of a warm request is learned apart from that of others.

--- a/packages/almondgap-core/almondgap_core/gateway/admission.py
+++ b/packages/almondgap-core/almondgap_core/gateway/admission.py
@@ -69,12 +69,14 @@
         allotment = state.allotments[account.name] = Allotment()
         share_limit(state, account.name, now)
     allotment.asked.count(now)
-    if account.rate <= 0 or allotment.take(account.rate, account.burst, now):
+    rate, burst = account.rate, account.burst
+    spare = state.bounds.tolerance.compute_spare(rate, burst)
+    if rate <= 0 or allotment.take(rate, burst, spare, now):
         return None
-    wait = min(allotment.compute_wait(account.rate), MOST_WAIT_US)
+    wait = min(allotment.compute_wait(rate), MOST_WAIT_US)
     detail = (
         f"account asks {allotment.asked.read(now):.1f}/s here and "
-        f"{allotment.elsewhere:.1f}/s elsewhere of {account.rate:g}/s; "
+        f"{allotment.elsewhere:.1f}/s elsewhere of {rate:g}/s; "
         f"share {allotment.share:.3f}"
     )
     return _refuse(429, Reason.OVER_RATE, detail, wait)
--- a/packages/almondgap-core/almondgap_core/gateway/allotments.py
+++ b/packages/almondgap-core/almondgap_core/gateway/allotments.py
@@ -9,7 +9,7 @@
 
 from __future__ import annotations
 
-from attrs import Factory, define
+from attrs import Factory, define, frozen
 
 from almondgap_core.gateway.beats import Meter
 from almondgap_core.units import MICROS_PER_SECOND, seconds
@@ -17,10 +17,13 @@
 #: Time over which the demand of an account is averaged: two beats.
 DEMAND_SPAN_US = seconds(2)
 
-#: Part of the burst that the hosts' buckets hold together. The rest is for hosts that
-#: disagree about what is asked while it changes, and for hosts that start with a
-#: full bucket.
-BURST_PART = 0.5
+#: Part of the tolerance of a limit that the hosts' buckets hold beside the burst. The
+#: rest is for hosts that disagree about what is asked while it changes.
+TOLERANCE_PART = 0.5
+
+#: Part of a bucket that is filled at first: a host that was restarted may have used a
+#: full one a moment ago.
+FIRST_PART = 0.5
 
 #: Demand that every host is taken to have, in requests per second, so that the first
 #: requests of an account find tokens.
@@ -36,6 +39,24 @@
 NOTABLE = 0.25
 
 
+@frozen
+class Tolerance:
+    """How far a limit may be exceeded in a window before it counts as broken.
+
+    :ivar window: length of the window, in seconds.
+    :ivar ratio: part of what the limit allows in the window.
+    :ivar requests: requests beside that.
+    """
+
+    window: float = 5.0
+    ratio: float = 0.0
+    requests: float = 0.0
+
+    def compute_spare(self, rate: float, burst: float) -> float:
+        """Return the requests in a window that the limit leaves beyond its burst."""
+        return (rate * self.window + burst) * self.ratio + self.requests
+
+
 @define
 class Allotment:
     """The tokens of a client account on this host.
@@ -66,12 +87,16 @@
         here = self.asked.read(now) + LEAST_DEMAND
         self.share = here / (here + self._least_elsewhere)
 
-    def take(self, rate: float, burst: float, now: int) -> bool:
-        """Take a token; return whether there was one."""
+    def take(self, rate: float, burst: float, spare: float, now: int) -> bool:
+        """Take a token; return whether there was one.
+
+        :param spare: requests that the limit tolerates beyond its burst.
+        """
         self.set_share(now)
-        most = max(LEAST_BURST, burst * BURST_PART * self.share)
+        whole = burst + spare * TOLERANCE_PART
+        most = max(LEAST_BURST, whole * self.share)
         if self.updated is None:
-            self.level = most
+            self.level = max(1.0, most * FIRST_PART)
         else:
             elapsed = max(0, now - self.updated) / MICROS_PER_SECOND
             self.level += elapsed * rate * RATE_PART * self.share
--- a/packages/almondgap-core/almondgap_core/gateway/health.py
+++ b/packages/almondgap-core/almondgap_core/gateway/health.py
@@ -15,7 +15,7 @@
     TargetAnswered,
     Ticked,
 )
-from almondgap_core.gateway.placement import find_work, is_candidate
+from almondgap_core.gateway.placement import UNWARMED, find_work, is_candidate
 from almondgap_core.gateway.reports import TargetChanged
 from almondgap_core.gateway.state import Call, GatewayState
 from almondgap_core.gateway.target import Target
@@ -36,6 +36,10 @@
 #: still be served elsewhere.
 REFUSAL_PART = 0.4
 
+#: What separates a warm request from one that is not, in relation to the warm one: the
+#: geometric mean of both.
+BETWEEN = UNWARMED**0.5
+
 #: Requests waiting at a target up to which an answer tells how long the work takes.
 MOST_WAITING = 0
 
@@ -64,10 +68,7 @@
     target.pace.add(_clip(ratio) * target.pace.read(now), now)
     waiting = event.load[1] if event.load is not None else 0
     if waiting <= MOST_WAITING:
-        work = find_work(state, call.route)
-        work.add(took, now)
-        # The work of a route is no passing trouble: keep what was learned.
-        work.rest = work.value
+        _learn_work(state, call, took, now)
 
 
 def note_misdirected(state: GatewayState, call: Call, now: int) -> None:
@@ -122,6 +123,16 @@
     _report(state, target, "up", "answered a probe")
 
 
+def _learn_work(state: GatewayState, call: Call, took: int, now: int) -> None:
+    """Learn what a warm request takes; one that was not warm tells it as well."""
+    work = find_work(state, call.route)
+    warm = work.read(now)
+    sample = took if took < warm * BETWEEN else took / UNWARMED
+    work.add(min(max(sample, warm / BETWEEN), warm * BETWEEN), now)
+    # The work of a route is no passing trouble: keep what was learned.
+    work.rest = work.value
+
+
 def _clip(ratio: float) -> float:
     return min(max(ratio, LEAST_SAMPLE), MOST_SAMPLE)
 
--- a/packages/almondgap-core/almondgap_core/gateway/placement.py
+++ b/packages/almondgap-core/almondgap_core/gateway/placement.py
@@ -21,7 +21,7 @@
 
 #: Work in relation to a warm object by the rank of the target. The first two of an
 #: object get it often enough to keep it; those after them now and then.
-WORK_BY_RANK = (1.0, 1.05, 1.5, 2.0)
+WORK_BY_RANK = (1.0, 1.25, 1.6, 2.2)
 
 #: Part of the response-time goal that a warm request is taken to need before any has
 #: been measured.
--- a/packages/almondgap-core/almondgap_core/gateway/routing.py
+++ b/packages/almondgap-core/almondgap_core/gateway/routing.py
@@ -23,6 +23,7 @@
 
 def find_choice(state: GatewayState, call: Call, now: int) -> Choice | None:
     """Return the target for a request, None if no target can be used."""
+    return choose_target(state, call, now, None)
     split = find_split(state, call.service, now)
     region = split.choose(list_regions(state, call))
     choice = choose_target(state, call, now, region) if region is not None else None
--- a/packages/almondgap-core/almondgap_core/gateway/state.py
+++ b/packages/almondgap-core/almondgap_core/gateway/state.py
@@ -4,7 +4,7 @@
 
 from attrs import Factory, define, frozen
 
-from almondgap_core.gateway.allotments import Allotment
+from almondgap_core.gateway.allotments import Allotment, Tolerance
 from almondgap_core.gateway.beats import Beat, HostPlace, Meter
 from almondgap_core.gateway.configuration import Account, Configuration, Route
 from almondgap_core.gateway.effects import GatewayEffect, Log
@@ -30,6 +30,7 @@
     retry_burst: float = 20.0
     max_shift: float = 0.15
     return_time: int = seconds(2)
+    tolerance: Tolerance = Factory(Tolerance)
 
 
 @define
--- a/packages/almondgap-daemon/almondgap_daemon/platform/settings.py
+++ b/packages/almondgap-daemon/almondgap_daemon/platform/settings.py
@@ -9,6 +9,7 @@
 from attrs import frozen
 
 from almondgap_core.exceptions import ConfigurationError
+from almondgap_core.gateway.allotments import Tolerance
 from almondgap_core.gateway.beats import HostPlace
 from almondgap_core.gateway.state import Bounds
 from almondgap_core.units import seconds
@@ -88,6 +89,11 @@
             retry_burst=limits.number("retry_burst"),
             max_shift=limits.number("max_shift"),
             return_time=seconds(limits.number("return_s")),
+            tolerance=Tolerance(
+                limits.number("account_window_s"),
+                limits.number("account_over_ratio"),
+                limits.number("account_over"),
+            ),
         )
         return cls(
             place=place,
