--- a/packages/almondgap-core/almondgap_core/gateway/admission.py
+++ b/packages/almondgap-core/almondgap_core/gateway/admission.py
@@ -2,10 +2,9 @@
 
 from __future__ import annotations
 
-from almondgap_core.gateway.allotments import Allotment
-from almondgap_core.gateway.configuration import Account, Route
+from almondgap_core.gateway.configuration import Route
 from almondgap_core.gateway.events import CallArrived
-from almondgap_core.gateway.fleet import share_limit
+from almondgap_core.gateway.shares import count_others, refill
 from almondgap_core.gateway.state import Call, GatewayState
 from almondgap_core.units import MICROS_PER_SECOND, millis
 from almondgap_core.verdict import Reason, Refusal, Verdict
@@ -17,8 +16,8 @@
 MOST_WAIT_US = 5 * MICROS_PER_SECOND
 
 
-def admit_call(state: GatewayState, event: CallArrived) -> Call | Refusal:
-    """Return the request to be placed, or why it is refused."""
+def check_call(state: GatewayState, event: CallArrived) -> Call | Refusal:
+    """Return a request that route and key allow, or why it is refused."""
     cfg = state.configuration
     if cfg is None:
         return _refuse(503, Reason.NOT_READY, "no configuration yet", NOT_READY_US)
@@ -31,10 +30,6 @@
         return _refuse(401, reason, "the route asks for the key of an account")
     if event.patience <= 0:
         return _refuse(503, Reason.DEADLINE_PASSED, "the caller's time is over")
-    if account is not None:
-        refused = _take_token(state, account, event.now)
-        if refused is not None:
-            return refused
     return Call(
         number=event.call,
         request_id=event.request_id,
@@ -63,21 +58,21 @@
     return chosen
 
 
-def _take_token(state: GatewayState, account: Account, now: int) -> Refusal | None:
-    allotment = state.allotments.get(account.name)
-    if allotment is None:
-        allotment = state.allotments[account.name] = Allotment()
-        share_limit(state, account.name, now)
-    allotment.asked.count(now)
-    rate, burst = account.rate, account.burst
-    spare = state.bounds.tolerance.compute_spare(rate, burst)
-    if rate <= 0 or allotment.take(rate, burst, spare, now):
+def take_token(state: GatewayState, call: Call, now: int) -> Refusal | None:
+    """Take a token of a request's account; return why it is refused without one."""
+    account = call.account
+    if account is None or account.rate <= 0:
         return None
-    wait = min(allotment.compute_wait(rate), MOST_WAIT_US)
+    allotment = refill(state, account, now)
+    if allotment.take():
+        return None
+    others = count_others(state)
+    wait = min(allotment.compute_wait(account.rate, others), MOST_WAIT_US)
     detail = (
-        f"account asks {allotment.asked.read(now):.1f}/s here and "
-        f"{allotment.elsewhere:.1f}/s elsewhere of {rate:g}/s; "
-        f"share {allotment.share:.3f}"
+        f"account asks {allotment.asked.read(now):.1f}/s here "
+        f"(told {allotment.told:.1f}/s) and "
+        f"{allotment.elsewhere:.1f}/s elsewhere of {account.rate:g}/s; "
+        f"share {allotment.find_share(account.rate, others):.3f}"
     )
     return _refuse(429, Reason.OVER_RATE, detail, wait)
 
--- a/packages/almondgap-core/almondgap_core/gateway/beats.py
+++ b/packages/almondgap-core/almondgap_core/gateway/beats.py
@@ -29,7 +29,6 @@
     :ivar ready: whether callers may be sent to it.
     :ivar version: version of its configuration, 0 without one.
     :ivar asked: requests per second that each client account asks of it.
-    :ivar demand: requests per second for each service that callers ask of it.
     """
 
     place: HostPlace
@@ -38,7 +37,6 @@
     ready: bool
     version: int = 0
     asked: dict[str, float] = Factory(dict)
-    demand: dict[str, float] = Factory(dict)
 
 
 @define
--- a/packages/almondgap-core/almondgap_core/gateway/calls.py
+++ b/packages/almondgap-core/almondgap_core/gateway/calls.py
@@ -2,9 +2,8 @@
 
 from __future__ import annotations
 
-from almondgap_core.gateway.admission import admit_call
+from almondgap_core.gateway.admission import check_call, take_token
 from almondgap_core.gateway.attempts import note_failure, note_silence, send_call
-from almondgap_core.gateway.beats import Meter
 from almondgap_core.gateway.effects import Abandon, Cancel, Deliver, Expire, Refuse
 from almondgap_core.gateway.events import (
     AttemptFailed,
@@ -14,10 +13,14 @@
     Failure,
     GatewayEvent,
     TargetAnswered,
+    TokensAsked,
+    TokensGiven,
+    TokensOverdue,
 )
 from almondgap_core.gateway.fleet import count_hosts
 from almondgap_core.gateway.health import note_answer, note_misdirected
 from almondgap_core.gateway.overload import judge
+from almondgap_core.gateway.placement import choose_target
 from almondgap_core.gateway.reports import (
     AttemptLost,
     CallerGone,
@@ -27,14 +30,17 @@
     RetryDenied,
 )
 from almondgap_core.gateway.retries import RetryAllowance
-from almondgap_core.gateway.routing import find_choice
+from almondgap_core.gateway.shares import find_allotment
 from almondgap_core.gateway.state import Call, GatewayState
-from almondgap_core.units import MICROS_PER_MILLI, millis, seconds
+from almondgap_core.gateway.tokens import (
+    ask_for_tokens,
+    end_waiting,
+    handle_tokens_asked,
+    receive_tokens,
+)
+from almondgap_core.units import MICROS_PER_MILLI, millis
 from almondgap_core.verdict import Reason, Refusal, Verdict
 
-#: Time over which the demand for a service is averaged: several windows of a shift.
-DEMAND_SPAN_US = seconds(5)
-
 #: Answers that say that a request did not run. A target may say so only with proof.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
@@ -51,20 +57,37 @@
 
 def handle_call_arrived(state: GatewayState, event: CallArrived) -> None:
     """Admit and place a request, or refuse it at once."""
-    admitted = admit_call(state, event)
-    if isinstance(admitted, Refusal):
-        _refuse_arrival(state, event, admitted)
+    checked = check_call(state, event)
+    if isinstance(checked, Refusal):
+        _refuse_arrival(state, event, checked)
         return
-    call = admitted
+    call = checked
     state.calls[call.number] = call
-    _count_demand(state, call, event.now)
     state.perform(Expire(call.number, call.expires - event.now))
-    place_call(state, call, event.now)
+    if call.account is not None:
+        allotment = find_allotment(state, call.account_name)
+        allotment.asked.count(event.now)
+    refusal = take_token(state, call, event.now)
+    if refusal is None:
+        _begin(state, call, event.now)
+    elif not ask_for_tokens(state, call, refusal, event.now):
+        finish(state, call, event.now, refusal)
+
+
+def handle_tokens_given(state: GatewayState, event: TokensGiven) -> None:
+    """Go on with requests that waited for tokens."""
+    receive_tokens(state, event.account, event.tokens)
+    _end_waiting(state, event.account, event.now)
+
+
+def handle_tokens_overdue(state: GatewayState, event: TokensOverdue) -> None:
+    """Refuse requests for which no tokens came."""
+    _end_waiting(state, event.account, event.now)
 
 
 def place_call(state: GatewayState, call: Call, now: int) -> None:
     """Send a request to the best target, or refuse it if it cannot be served."""
-    choice = find_choice(state, call, now)
+    choice = choose_target(state, call, now)
     if choice is None:
         refuse_call(state, call, now, 503, Reason.NO_TARGET, "no target can be used")
         return
@@ -91,7 +114,7 @@
     elif event.not_executed:
         _report_lost(state, call, event.attempt, "not executed", Verdict.NOT_RUN, now)
         _retry_or_refuse(state, call, now, f"target refused with {event.status}")
-    elif event.sealed and event.status < 500:
+    elif event.sealed and _is_plain(event.status):
         _deliver(state, call, event)
     else:
         _handle_bad_answer(state, call, event)
@@ -188,6 +211,22 @@
     )
 
 
+def _begin(state: GatewayState, call: Call, now: int) -> None:
+    _earn_retries(state, call)
+    place_call(state, call, now)
+
+
+def _end_waiting(state: GatewayState, account: str, now: int) -> None:
+    for call, refusal in end_waiting(state, account, now):
+        if call.number not in state.calls:
+            # Its caller left, or its time was over.
+            continue
+        if refusal is None:
+            _begin(state, call, now)
+        else:
+            finish(state, call, now, refusal)
+
+
 def _refuse_arrival(state: GatewayState, event: CallArrived, refusal: Refusal) -> None:
     state.perform(Refuse(event.call, refusal))
     wait = refusal.retry_after
@@ -229,6 +268,11 @@
     )
 
 
+def _is_plain(status: int) -> bool:
+    """Return whether an answer can be passed on without a second thought."""
+    return status < 500 and status not in NOT_RUN_STATUSES
+
+
 def _handle_bad_answer(state: GatewayState, call: Call, event: TargetAnswered) -> None:
     """Handle a failure that the target made, or an answer without its mark."""
     call.may_have_run = True
@@ -239,6 +283,7 @@
         _report_lost(state, call, event.attempt, failure, verdict, now)
         _retry(state, call, now, failure)
     elif event.sealed and event.status not in NOT_RUN_STATUSES:
+        # The target's own failure, which its caller is to see as it is.
         _deliver(state, call, event)
     else:
         detail = f"target answered {event.status} without proof that it served"
@@ -288,9 +333,7 @@
     state.perform(effect(call.number, call.attempt))
 
 
-def _count_demand(state: GatewayState, call: Call, now: int) -> None:
-    meter = state.demand.setdefault(call.service, Meter(DEMAND_SPAN_US))
-    meter.count(now)
+def _earn_retries(state: GatewayState, call: Call) -> None:
     allowance = state.retries.setdefault(call.service, RetryAllowance())
     bounds = state.bounds
     allowance.earn(bounds.retry_ratio, bounds.retry_burst, count_hosts(state))
@@ -315,5 +358,8 @@
     TargetAnswered: handle_target_answered,
     AttemptFailed: handle_attempt_failed,
     CallerLeft: handle_caller_left,
+    TokensAsked: handle_tokens_asked,
+    TokensGiven: handle_tokens_given,
+    TokensOverdue: handle_tokens_overdue,
     CallExpired: handle_call_expired,
 }
--- a/packages/almondgap-core/almondgap_core/gateway/effects.py
+++ b/packages/almondgap-core/almondgap_core/gateway/effects.py
@@ -104,6 +104,42 @@
     addresses: tuple[str, ...]
 
 
+@frozen
+class AskTokens(GatewayEffect):
+    """Ask another host for tokens of a client account.
+
+    :ivar address: where it hears the question.
+    """
+
+    address: str
+    account: str
+    tokens: float
+
+
+@frozen
+class AwaitTokens(GatewayEffect):
+    """Report after some time that no tokens came.
+
+    :ivar delay: time until then, in microseconds.
+    """
+
+    account: str
+    delay: int
+
+
+@frozen
+class GiveTokens(GatewayEffect):
+    """Answer a host that asked for tokens.
+
+    :ivar address: where it hears the answer.
+    :ivar tokens: tokens that are given, 0 for none.
+    """
+
+    address: str
+    account: str
+    tokens: float
+
+
 @frozen
 class Log(GatewayEffect):
     """Write a line to the log."""
--- a/packages/almondgap-core/almondgap_core/gateway/events.py
+++ b/packages/almondgap-core/almondgap_core/gateway/events.py
@@ -165,6 +165,33 @@
     beat: Beat
 
 
+@frozen
+class TokensAsked(GatewayEvent):
+    """Another host asks for tokens of a client account.
+
+    :ivar address: where it hears the answer.
+    """
+
+    address: str
+    account: str
+    tokens: float
+
+
+@frozen
+class TokensGiven(GatewayEvent):
+    """Another host answered a question for tokens; 0 if it gave none."""
+
+    account: str
+    tokens: float
+
+
+@frozen
+class TokensOverdue(GatewayEvent):
+    """No answer to a question for tokens came."""
+
+    account: str
+
+
 @frozen
 class StopRequested(GatewayEvent):
     """A planned stop of this host begins."""
--- a/packages/almondgap-core/almondgap_core/gateway/fleet.py
+++ b/packages/almondgap-core/almondgap_core/gateway/fleet.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from almondgap_core.gateway.allotments import NOTABLE
 from almondgap_core.gateway.beats import Beat, HostPlace
 from almondgap_core.gateway.effects import SendBeat
 from almondgap_core.gateway.events import (
@@ -11,7 +10,13 @@
     StopRequested,
     Ticked,
 )
-from almondgap_core.gateway.reports import HostChanged, LimitChanged, StopBegun
+from almondgap_core.gateway.reports import HostChanged, StopBegun
+from almondgap_core.gateway.shares import (
+    handle_silence,
+    hold_parts,
+    note_told,
+    report_shares,
+)
 from almondgap_core.gateway.state import GatewayState, Peer
 from almondgap_core.units import MICROS_PER_MILLI, millis, seconds
 
@@ -24,19 +29,23 @@
 #: Silence after which callers are not sent to a host: two lost beats and a late one.
 SILENT_US = millis(2_600)
 
-#: Time after which what a silent host asked for no longer counts: longer than hosts
-#: are usually cut off.
-FORGOTTEN_US = seconds(15)
-
-#: Least demand for an account or service that is told, in requests per second.
+#: Least demand for an account that is told, in requests per second.
 LEAST_TOLD = 0.05
 
 #: Most hosts that are named to a caller.
 MOST_NAMED = 64
 
 
+def meet_hosts(state: GatewayState, places: list[HostPlace]) -> None:
+    """Note the hosts that the store lists, and tell them of this one."""
+    for place in places:
+        meet_host(state, place)
+    state.hosts_listed = True
+    state.next_beat = 0
+
+
 def meet_host(state: GatewayState, place: HostPlace) -> None:
-    """Note a host that the store lists; whether it runs will be heard."""
+    """Note a host; whether it runs will be heard."""
     if place.host != state.place.host:
         peer = state.peers.get(place.host)
         if peer is None:
@@ -69,7 +78,9 @@
     if known is None or known.incarnation != beat.incarnation:
         # A host that has just started hears of this one at once.
         state.next_beat = event.now
+    note_told(state, peer, beat)
     peer.lost = False
+    peer.stopped = not beat.ready and known is not None and known.ready
     peer.place = beat.place
     peer.beat = beat
     peer.heard = event.now
@@ -80,12 +91,17 @@
     for peer in state.peers.values():
         silent = peer.heard is not None and event.now - peer.heard > SILENT_US
         if silent and not peer.lost:
+            hold_parts(state, peer)
             peer.lost = True
             age = (event.now - peer.heard) // MICROS_PER_MILLI
             state.report(HostChanged(peer.place.host, "silent", age))
-    if event.now >= state.next_beat:
+    rising = any(
+        allotment.is_rising(event.now) for allotment in state.allotments.values()
+    )
+    if rising or event.now >= state.next_beat:
         _send_beat(state, event.now)
-        _share_limits(state, event.now)
+    handle_silence(state, event.now)
+    report_shares(state)
 
 
 def handle_stop_requested(state: GatewayState, event: StopRequested) -> None:
@@ -128,25 +144,12 @@
     return max(len(state.peers) + 1, len(state.regions))
 
 
-def sum_demand(state: GatewayState, service: str, now: int) -> dict[str, float]:
-    """Return what callers ask of a service, by the region of their host."""
-    here = state.demand.get(service)
-    demand = {state.place.region: here.read(now) if here else 0.0}
-    for peer in list_heard(state, now):
-        region = peer.place.region
-        asked = peer.beat.demand.get(service, 0.0)
-        demand[region] = demand.get(region, 0.0) + asked
-    return demand
-
-
 def _send_beat(state: GatewayState, now: int) -> None:
     state.next_beat = now + BEAT_US
     state.beat_sequence += 1
-    asked = {
-        name: round(allotment.asked.read(now), 2)
-        for name, allotment in state.allotments.items()
-    }
-    demand = {name: round(meter.read(now), 2) for name, meter in state.demand.items()}
+    for allotment in state.allotments.values():
+        allotment.told = round(allotment.asked.read(now), 2)
+    asked = {name: allotment.told for name, allotment in state.allotments.items()}
     beat = Beat(
         state.place,
         state.incarnation,
@@ -154,7 +157,6 @@
         state.ready,
         state.version,
         {name: rate for name, rate in asked.items() if rate >= LEAST_TOLD},
-        {name: rate for name, rate in demand.items() if rate >= LEAST_TOLD},
     )
     addresses = []
     for peer in state.peers.values():
@@ -166,35 +168,6 @@
         state.perform(SendBeat(beat, tuple(addresses)))
 
 
-def share_limit(state: GatewayState, account: str, now: int) -> None:
-    """Work out which part of an account's limit this host may use."""
-    allotment = state.allotments[account]
-    elsewhere = 0.0
-    for peer in state.peers.values():
-        if peer.heard is not None and now - peer.heard < FORGOTTEN_US:
-            elsewhere += peer.beat.asked.get(account, 0.0)
-    allotment.elsewhere = elsewhere
-    allotment.others = count_hosts(state) - 1
-    allotment.set_share(now)
-    if abs(allotment.share - allotment.reported) >= NOTABLE:
-        allotment.reported = allotment.share
-        limit = state.configuration.accounts.get(account) if state.version else None
-        state.report(
-            LimitChanged(
-                account,
-                round(allotment.share, 3),
-                limit.rate if limit else 0.0,
-                round(allotment.asked.read(now), 2),
-                round(elsewhere, 2),
-            )
-        )
-
-
-def _share_limits(state: GatewayState, now: int) -> None:
-    for account in state.allotments:
-        share_limit(state, account, now)
-
-
 EVENT_HANDLERS: dict[type[GatewayEvent], object] = {
     BeatHeard: handle_beat_heard,
     StopRequested: handle_stop_requested,
--- a/packages/almondgap-core/almondgap_core/gateway/placement.py
+++ b/packages/almondgap-core/almondgap_core/gateway/placement.py
@@ -60,15 +60,10 @@
     queued: int
 
 
-def choose_target(
-    state: GatewayState, call: Call, now: int, region: str | None
-) -> Choice | None:
-    """Return the target that would answer soonest, None if none can be used.
-
-    :param region: region of the target, None for any that is allowed.
-    """
+def choose_target(state: GatewayState, call: Call, now: int) -> Choice | None:
+    """Return the target that would answer soonest, None if none can be used."""
     thing = call.thing if call.route.sticky else ""
-    ranked = _rank_targets(state, call, thing, region)
+    ranked = _rank_targets(state, call, thing)
     rated = _pick_rated(state, call, ranked, thing, now)
     work = find_work(state, call.route).read(now)
     best: Choice | None = None
@@ -113,12 +108,8 @@
     return regions
 
 
-def _rank_targets(
-    state: GatewayState, call: Call, thing: str, region: str | None
-) -> list[Target]:
+def _rank_targets(state: GatewayState, call: Call, thing: str) -> list[Target]:
     allowed = frozenset(list_regions(state, call))
-    if region is not None:
-        allowed &= {region}
     key = (call.service, allowed, call.route.name if thing else "", thing)
     kept = state.ranks.get(key)
     if kept is not None and kept[0] == state.epoch:
--- a/packages/almondgap-core/almondgap_core/gateway/reducer.py
+++ b/packages/almondgap-core/almondgap_core/gateway/reducer.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-from almondgap_core.gateway import calls, discovery, fleet, health, rollout, routing
+from almondgap_core.gateway import calls, discovery, fleet, health, rollout
 from almondgap_core.gateway.effects import GatewayEffect
 from almondgap_core.gateway.events import GatewayEvent
 from almondgap_core.gateway.state import GatewayState
 
 #: Modules that handle events, in the order in which they see the same event.
-EVENT_MODULES = (rollout, discovery, fleet, health, routing, calls)
+EVENT_MODULES = (rollout, discovery, fleet, health, calls)
 
 
 def _collect_handlers() -> dict[type[GatewayEvent], tuple]:
--- a/packages/almondgap-core/almondgap_core/gateway/rollout.py
+++ b/packages/almondgap-core/almondgap_core/gateway/rollout.py
@@ -18,6 +18,7 @@
     for name in [name for name in state.allotments if name not in cfg.accounts]:
         del state.allotments[name]
     if not previous:
+        state.serving_since = event.now
         state.next_beat = event.now
     state.report(
         ConfigurationChanged(cfg.version, previous, len(cfg.routes), len(cfg.accounts))
--- a/packages/almondgap-core/almondgap_core/gateway/state.py
+++ b/packages/almondgap-core/almondgap_core/gateway/state.py
@@ -5,10 +5,9 @@
 from attrs import Factory, define, frozen
 
 from almondgap_core.gateway.allotments import Allotment, Tolerance
-from almondgap_core.gateway.beats import Beat, HostPlace, Meter
+from almondgap_core.gateway.beats import Beat, HostPlace
 from almondgap_core.gateway.configuration import Account, Configuration, Route
 from almondgap_core.gateway.effects import GatewayEffect, Log
-from almondgap_core.gateway.regions import RegionSplit
 from almondgap_core.gateway.reports import Report
 from almondgap_core.gateway.retries import RetryAllowance
 from almondgap_core.gateway.target import Average, Target
@@ -21,14 +20,12 @@
 
     :ivar retry_ratio: repeated sends for each request of a service.
     :ivar retry_burst: repeated sends beyond that.
-    :ivar max_shift: share of a region's requests that may change region in 2 s.
     :ivar return_time: how long entries of living targets may be missing after the
         store was away.
     """
 
     retry_ratio: float = 0.2
     retry_burst: float = 20.0
-    max_shift: float = 0.15
     return_time: int = seconds(2)
     tolerance: Tolerance = Factory(Tolerance)
 
@@ -80,7 +77,8 @@
 
     :ivar heard: when it last told something, None if never.
     :ivar told: when this host last told it something.
-    :ivar lost: whether it was reported as silent.
+    :ivar lost: whether it fell silent.
+    :ivar stopped: whether it said that it stops, so that it ends when it is silent.
     """
 
     place: HostPlace
@@ -89,6 +87,7 @@
     heard: int | None = None
     told: int = 0
     lost: bool = False
+    stopped: bool = False
 
 
 @define
@@ -96,11 +95,13 @@
     """Everything that a gateway knows and decides from.
 
     :ivar regions: region of each failure domain.
+    :ivar waiting: requests that wait for tokens, by client account.
     :ivar work: time that a target takes for a request of a route, without waiting.
+    :ivar hosts_listed: whether the store listed the hosts.
+    :ivar serving_since: when the host had its first configuration.
     :ivar epoch: number that changes whenever the set of usable targets does.
     :ivar ranks: targets in order for an object, as long as the epoch lasts.
     :ivar late: targets that the store no longer holds, and when they count as gone.
-    :ivar splits: how this region's requests are shared over regions, by service.
     """
 
     place: HostPlace
@@ -110,6 +111,7 @@
     seed: int = 1
     stopping: bool = False
     configuration: Configuration | None = None
+    serving_since: int = 0
     evacuated: frozenset[str] = frozenset()
     targets: dict[str, Target] = Factory(dict)
     epoch: int = 0
@@ -118,14 +120,14 @@
     store_lost: int | None = None
     store_regained: int | None = None
     peers: dict[str, Peer] = Factory(dict)
+    hosts_listed: bool = False
     beat_sequence: int = 0
     next_beat: int = 0
     calls: dict[int, Call] = Factory(dict)
     allotments: dict[str, Allotment] = Factory(dict)
+    waiting: dict[str, list] = Factory(dict)
     retries: dict[str, RetryAllowance] = Factory(dict)
-    demand: dict[str, Meter] = Factory(dict)
     work: dict[str, Average] = Factory(dict)
-    splits: dict[str, RegionSplit] = Factory(dict)
     backend_credit: dict[str, dict[str, float]] = Factory(dict)
     effects: list[GatewayEffect] = Factory(list)
 
--- a/packages/almondgap-daemon/almondgap_daemon/gateway/follower.py
+++ b/packages/almondgap-daemon/almondgap_daemon/gateway/follower.py
@@ -83,6 +83,8 @@
                 self.version = None
                 continue
             except PlatformError as exc:
+                if not self.running:
+                    return
                 self.on_state(self.table, str(exc))
                 self._pause = min(max(FIRST_PAUSE_S, self._pause * 2), LONGEST_PAUSE_S)
                 yield deferLater(self.reactor, self._pause * (1 - JITTER * self.draw()))
--- a/packages/almondgap-daemon/almondgap_daemon/gateway/logs.py
+++ b/packages/almondgap-daemon/almondgap_daemon/gateway/logs.py
@@ -71,6 +71,11 @@
         self._waiting += data
         self.flush()
 
+    @property
+    def full(self) -> bool:
+        """Whether the reader is so far behind that lines may be dropped."""
+        return len(self._waiting) > MOST_WAITING_BYTES // 2
+
     def flush(self) -> None:
         """Write what the reader has room for."""
         try:
@@ -119,6 +124,9 @@
     def tick(self) -> None:
         """Write what is left, and how many lines were left out."""
         self.writer.flush()
+        if self.writer.full:
+            # The line would be dropped as well, and the count with it.
+            return
         dropped, self.writer.dropped = self.writer.dropped, 0
         left_out, self._left_out = self._left_out, 0
         if dropped or left_out:
--- a/packages/almondgap-daemon/almondgap_daemon/gateway/metrics.py
+++ b/packages/almondgap-daemon/almondgap_daemon/gateway/metrics.py
@@ -38,7 +38,7 @@
         self.total_s += latency_s
 
 
-@define
+@define(eq=False)
 class GatewayMetrics:
     """The figures of one host since its start."""
 
--- a/packages/almondgap-daemon/almondgap_daemon/gateway/node.py
+++ b/packages/almondgap-daemon/almondgap_daemon/gateway/node.py
@@ -8,13 +8,17 @@
 
 from attrs import define, field
 
+from almondgap_core.gateway.beats import Beat
 from almondgap_core.gateway.effects import (
     Abandon,
+    AskTokens,
+    AwaitTokens,
     Cancel,
     Deliver,
     Expire,
     Forget,
     GatewayEffect,
+    GiveTokens,
     Log,
     Probe,
     Refuse,
@@ -22,17 +26,26 @@
     SendBeat,
 )
 from almondgap_core.gateway.events import (
+    BeatHeard,
     CallArrived,
     CallerLeft,
     CallExpired,
     GatewayEvent,
     Ticked,
+    TokensAsked,
+    TokensGiven,
+    TokensOverdue,
 )
 from almondgap_core.gateway.reducer import step
 from almondgap_core.gateway.state import GatewayState
 from almondgap_core.units import MICROS_PER_SECOND
 from almondgap_core.verdict import Refusal
 from almondgap_daemon.gateway.logs import ReportLog
+from almondgap_daemon.gateway.messages import (
+    Message,
+    TokensAnswer,
+    TokensQuestion,
+)
 from almondgap_daemon.gateway.metrics import GatewayMetrics
 from almondgap_daemon.gateway.sending import Attempt, TargetSender
 from almondgap_daemon.http.answer import Answer
@@ -71,7 +84,7 @@
     state: GatewayState
     log: ReportLog
     metrics: GatewayMetrics
-    send_beat: Callable
+    send_message: Callable
     sender: TargetSender = field(init=False)
     _open: dict[int, OpenCall] = field(factory=dict)
     _number: int = 0
@@ -89,7 +102,10 @@
             Expire: self._expire,
             Probe: self.sender.probe,
             Forget: lambda effect: self.sender.pool.forget(effect.target),
-            SendBeat: lambda effect: self.send_beat(effect.beat, effect.addresses),
+            SendBeat: lambda effect: self.send_message(effect.beat, *effect.addresses),
+            AskTokens: self._ask_tokens,
+            GiveTokens: self._give_tokens,
+            AwaitTokens: self._await_tokens,
             Log: self._log,
         }
 
@@ -133,6 +149,17 @@
             )
         )
 
+    def heard(self, message: Message) -> None:
+        """Take a message of another host."""
+        now = self.now()
+        if isinstance(message, Beat):
+            self.feed(BeatHeard(now, message))
+        elif isinstance(message, TokensQuestion):
+            said = (message.address, message.account, message.tokens)
+            self.feed(TokensAsked(now, *said))
+        else:
+            self.feed(TokensGiven(now, message.account, message.tokens))
+
     def left(self, exchange: Exchange) -> None:
         """Take note that a caller left before its answer."""
         opened = self._open.get(exchange.number)
@@ -200,6 +227,21 @@
         if opened.timer is not None and opened.timer.active():
             opened.timer.cancel()
 
+    def _ask_tokens(self, effect: AskTokens) -> None:
+        here = self.state.place.peers
+        question = TokensQuestion(here, effect.account, effect.tokens)
+        self.send_message(question, effect.address)
+
+    def _give_tokens(self, effect: GiveTokens) -> None:
+        self.send_message(TokensAnswer(effect.account, effect.tokens), effect.address)
+
+    def _await_tokens(self, effect: AwaitTokens) -> None:
+        delay = effect.delay / MICROS_PER_SECOND
+        self.reactor.callLater(delay, self._end_wait, effect.account)
+
+    def _end_wait(self, account: str) -> None:
+        self.feed(TokensOverdue(self.now(), account))
+
     def _log(self, effect: Log) -> None:
         self.log.write_report(effect.report)
         self.metrics.note_report(effect.report)
--- a/packages/almondgap-daemon/almondgap_daemon/gateway/process.py
+++ b/packages/almondgap-daemon/almondgap_daemon/gateway/process.py
@@ -17,13 +17,13 @@
 
 from almondgap_core.exceptions import ConfigurationError, MessageError, PlatformError
 from almondgap_core.gateway.configuration import CallerLimits
-from almondgap_core.gateway.events import BeatHeard, StopRequested
-from almondgap_core.gateway.fleet import list_addresses, meet_host
+from almondgap_core.gateway.events import StopRequested
+from almondgap_core.gateway.fleet import list_addresses, meet_hosts
 from almondgap_core.gateway.state import GatewayState
 from almondgap_core.units import MICROS_PER_SECOND
-from almondgap_daemon.gateway.beats import BeatSocket
 from almondgap_daemon.gateway.follower import StoreFollower
 from almondgap_daemon.gateway.logs import LineWriter, ReportLog
+from almondgap_daemon.gateway.messages import MessageSocket
 from almondgap_daemon.gateway.metrics import GatewayMetrics
 from almondgap_daemon.gateway.node import Node
 from almondgap_daemon.http.pages import Page, Pages
@@ -94,7 +94,7 @@
     node: Node
     store: StoreClient
     follower: StoreFollower = field(init=False)
-    beats: BeatSocket = field(init=False)
+    messages: MessageSocket = field(init=False)
     callers: ServerFactory = field(init=False)
     stopping_since: float | None = None
     _read_at: float = 0.0
@@ -112,7 +112,7 @@
             bounds=cfg.bounds,
             seed=random.getrandbits(63),
         )
-        node = Node(reactor, state, log, GatewayMetrics(), send_beat=None)
+        node = Node(reactor, state, log, GatewayMetrics(), send_message=None)
         store = StoreClient(reactor, cfg.store)
         return cls(reactor, cfg, path, log, node, store)
 
@@ -121,10 +121,8 @@
         self.follower = StoreFollower(
             self.reactor, self.store, node.feed, node.now, random.random, self._warn
         )
-        self.beats = BeatSocket(
-            lambda beat: node.feed(BeatHeard(node.now(), beat)), self._warn
-        )
-        node.send_beat = self.beats.send
+        self.messages = MessageSocket(node.heard, self._warn)
+        node.send_message = self.messages.send
         self.callers = ServerFactory(self.reactor, node, self._warn)
         self._read_at = _find_change_time(self.path)
 
@@ -139,7 +137,7 @@
         self._listen(self.cfg.directory, self._make_pages(directory))
         host, _, port = place.peers.rpartition(":")
         self._listen(f"{host}:{METRICS_PORT}", self._make_pages(metrics))
-        self.reactor.listenUDP(int(port), self.beats, host)
+        self.reactor.listenUDP(int(port), self.messages, host)
         self._on_signal(signal.SIGTERM, self.stop)
         self._on_signal(signal.SIGINT, self.stop)
         self._on_signal(signal.SIGHUP, self.reload)
@@ -234,13 +232,13 @@
             return
 
     def _meet(self, rows) -> None:
+        places = []
         for row in rows:
             try:
-                if row.value is not None:
-                    meet_host(self.node.state, decode_place(row.value))
+                places.append(decode_place(row.value))
             except MessageError as exc:
                 self._warn(f"host {row.key}: {exc}")
-        self.node.state.next_beat = 0
+        meet_hosts(self.node.state, places)
 
     def _resolve(self, query: dict[str, str]) -> Page:
         question = read_question(query)
--- a/packages/almondgap-daemon/almondgap_daemon/http/server.py
+++ b/packages/almondgap-daemon/almondgap_daemon/http/server.py
@@ -152,6 +152,9 @@
 
     def _take(self, event) -> None:
         if isinstance(event, h11.Request):
+            if _is_framed_twice(event):
+                self._reject(400, "length and chunks in one request")
+                return
             self._head = event
             self._in_head = False
             self._body = []
@@ -224,6 +227,12 @@
             self._close()
 
 
+def _is_framed_twice(head: h11.Request) -> bool:
+    """Return whether another reader might see the request end elsewhere."""
+    names = {name for name, _ in head.headers}
+    return {b"content-length", b"transfer-encoding"} <= names
+
+
 @define(eq=False)
 class ServerFactory(ProtocolFactory):
     """Makes a connection for each caller.
--- a/packages/almondgap-daemon/almondgap_daemon/platform/settings.py
+++ b/packages/almondgap-daemon/almondgap_daemon/platform/settings.py
@@ -87,7 +87,6 @@
         bounds = Bounds(
             retry_ratio=limits.number("retry_ratio"),
             retry_burst=limits.number("retry_burst"),
-            max_shift=limits.number("max_shift"),
             return_time=seconds(limits.number("return_s")),
             tolerance=Tolerance(
                 limits.number("account_window_s"),
--- /dev/null
+++ b/packages/almondgap-testkit/almondgap_testkit/gateways/builders.py
@@ -0,0 +1,139 @@
+"""Builders of test data for gateways."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from attrs import define, field
+
+from almondgap_core.gateway.beats import HostPlace
+from almondgap_core.gateway.configuration import (
+    Account,
+    Backend,
+    Configuration,
+    Route,
+    Service,
+)
+from almondgap_core.gateway.effects import GatewayEffect, Log
+from almondgap_core.gateway.events import (
+    CallArrived,
+    ConfigurationRead,
+    GatewayEvent,
+    TargetsRead,
+)
+from almondgap_core.gateway.reducer import step
+from almondgap_core.gateway.state import GatewayState
+from almondgap_core.gateway.target import Announcement
+from almondgap_core.units import millis, seconds
+
+REGIONS = {"a1": "a", "a2": "a", "b1": "b", "b2": "b"}
+HOST_NAME = "shop.example"
+KEY = "key-of-one"
+START = seconds(100)
+
+
+def build_route(**changes: Any) -> Route:
+    """Return a route of service ``shop``."""
+    fields: dict[str, Any] = {
+        "name": "reads",
+        "host": HOST_NAME,
+        "prefix": "/reads/",
+        "idempotent": True,
+        "timeout": seconds(1),
+        "goal": millis(400),
+        "priority": 1,
+        "backends": (Backend("shop"),),
+        "max_attempts": 2,
+        "sticky": True,
+    }
+    return Route(**{**fields, **changes})
+
+
+def build_configuration(version: int = 1, **changes: Any) -> Configuration:
+    """Return a configuration with a route for reads and one for orders."""
+    orders = build_route(name="orders", prefix="/orders/", idempotent=False)
+    fields: dict[str, Any] = {
+        "routes": (build_route(), orders),
+        "services": {
+            "shop": Service("shop", "/health", 100, seconds(3), 5.0),
+            "cellar": Service("cellar", "/health", 100, seconds(3), 5.0),
+        },
+        "accounts": {"one": Account("one", frozenset({KEY}), None, 1_000.0, 1_000.0)},
+    }
+    return Configuration(version, **{**fields, **changes})
+
+
+def announce(name: str, **changes: Any) -> Announcement:
+    """Return an announcement of a target of ``shop``."""
+    fields: dict[str, Any] = {
+        "target": name,
+        "incarnation": 1_000,
+        "sequence": 1,
+        "service": "shop",
+        "address": f"10.9.0.{abs(hash(name)) % 250 + 1}:80",
+        "failure_domain": "a1",
+        "slots": 2,
+    }
+    return Announcement(**{**fields, **changes})
+
+
+def build_place(host: str = "h1", failure_domain: str = "a1") -> HostPlace:
+    """Return the place of a host."""
+    return HostPlace(
+        host, failure_domain, REGIONS[failure_domain], f"{host}:80", f"{host}:90"
+    )
+
+
+@define
+class Bench:
+    """One gateway on a desk: events in, effects out.
+
+    :ivar now: time of the next event, in microseconds.
+    """
+
+    state: GatewayState
+    now: int = START
+    number: int = 0
+    effects: list[GatewayEffect] = field(factory=list)
+
+    @classmethod
+    def build(
+        cls,
+        targets: tuple[Announcement, ...] = (),
+        configuration: Configuration | None = None,
+        **changes: Any,
+    ) -> Bench:
+        """Return a gateway that knows a configuration and targets."""
+        state = GatewayState(build_place(), 1, REGIONS, **changes)
+        bench = cls(state)
+        bench.feed(ConfigurationRead, configuration or build_configuration())
+        bench.feed(TargetsRead, targets)
+        return bench
+
+    def feed(self, kind: type[GatewayEvent], *args, **fields) -> list[GatewayEffect]:
+        """Feed an event of now; return its effects without those for the log."""
+        self.effects = step(self.state, kind(self.now, *args, **fields))
+        return [effect for effect in self.effects if not isinstance(effect, Log)]
+
+    def call(self, path: str = "/reads/1", **changes: Any) -> list[GatewayEffect]:
+        """Let a request arrive; its number is ``number`` then."""
+        self.number += 1
+        fields: dict[str, Any] = {
+            "call": self.number,
+            "request_id": f"r{self.number}",
+            "method": "GET",
+            "host": HOST_NAME,
+            "path": path,
+            "key": KEY,
+            "thing": "7",
+            "patience": seconds(3),
+        }
+        return self.feed(CallArrived, **{**fields, **changes})
+
+    def find(self, kind: type) -> list:
+        """Return the effects of the last step of a kind."""
+        return [effect for effect in self.effects if isinstance(effect, kind)]
+
+    def list_reports(self) -> list:
+        """Return what the last step reported."""
+        return [effect.report for effect in self.find(Log)]
--- /dev/null
+++ b/packages/almondgap-testkit/almondgap_testkit/gateways/site.py
@@ -0,0 +1,282 @@
+"""Real gateways as processes on loopback, with stand-ins for store and targets."""
+
+from __future__ import annotations
+
+import http.client
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+import urllib.error
+import urllib.request
+from pathlib import Path
+from typing import Any
+
+from attrs import Factory, define
+
+from almondgap_daemon.platform.settings import SETTINGS_VARIABLE
+from almondgap_testkit.gateways.builders import HOST_NAME, KEY, REGIONS
+
+STORE_PORT = 7_000
+WORKERS_PORT = 7_100
+CALLERS_PORT, READY_PORT, DIRECTORY_PORT, PEERS_PORT = 8_000, 8_001, 8_002, 8_003
+
+START_TIMEOUT_S = 20.0
+STOP_TIMEOUT_S = 15.0
+POLL_S = 0.05
+
+#: Second octets that sites of tests may use, and where the guard of one listens.
+FIRST_NET, LAST_NET = 20, 250
+GUARD_PLACE, GUARD_PORT = "253.1", 6_998
+
+CONFIGURATION: dict[str, Any] = {
+    "version": "00000001",
+    "routes": {
+        "reads": {
+            "host": HOST_NAME,
+            "prefix": "/reads/",
+            "kind": "safe",
+            "timeout_s": 2,
+            "target_latency_s": 1,
+            "priority": 1,
+            "backend": "shop",
+            "max_attempts": 2,
+            "sticky": True,
+        },
+        "orders": {
+            "host": HOST_NAME,
+            "prefix": "/orders/",
+            "kind": "unsafe",
+            "timeout_s": 2,
+            "target_latency_s": 1,
+            "priority": 0,
+            "backend": "shop",
+            "max_attempts": 2,
+        },
+    },
+    "services": {"shop": {"health_check": "/health", "max_conns": 100}},
+    "tenants": {"one": {"api_keys": [KEY], "rate_per_s": 500, "burst": 500}},
+    "limits": {"idle_timeout_s": 15},
+}
+
+
+@define
+class Reply:
+    """What a caller got."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+
+@define
+class Site:
+    """Processes of one site.
+
+    :ivar net: start of every address, so that sites do not meet.
+    :ivar guard: listening socket that keeps the net from other sites.
+    """
+
+    net: str
+    guard: socket.socket
+    folder: Path
+    processes: dict[str, subprocess.Popen] = Factory(dict)
+
+    @classmethod
+    def start(cls, workers: int = 2, work_s: float = 0.02) -> Site:
+        """Start store and targets, and write the configuration."""
+        net, guard = _reserve_net()
+        site = cls(net, guard, Path(tempfile.mkdtemp(prefix="almondgap-site-")))
+        site._run("store", "almondgap_testkit.standins.store", "--port", STORE_PORT)
+        site.wait_for_port("store", site.store)
+        site._run(
+            "workers",
+            "almondgap_testkit.standins.workers",
+            *("--port", WORKERS_PORT, "--count", workers, "--store", site.store),
+            *("--work", work_s),
+        )
+        for number in range(workers):
+            site.wait_for_port("workers", f"{net}.0.1:{WORKERS_PORT + number}")
+        site.write({"table": "op", "key": "config", "value": CONFIGURATION})
+        return site
+
+    @property
+    def store(self) -> str:
+        """Address of the store."""
+        return f"{self.net}.0.1:{STORE_PORT}"
+
+    def address(self, host: str, port: int) -> str:
+        """Return an address of a host, which is named by a number after ``h``."""
+        return f"{self.net}.1.{int(host[1:])}:{port}"
+
+    def start_host(self, host: str, failure_domain: str = "a1", **changes) -> None:
+        """Start a gateway and wait until it is ready."""
+        self.write_settings(host, failure_domain, **changes)
+        environ = {**os.environ, SETTINGS_VARIABLE: str(self.folder / f"{host}.json")}
+        with open(self.folder / f"{host}.log", "ab") as log:
+            self.processes[host] = subprocess.Popen(
+                [sys.executable, "-m", "almondgap_daemon"],
+                env=environ,
+                stdout=log,
+                stderr=subprocess.STDOUT,
+            )
+        self.wait_until(lambda: self.is_ready(host))
+
+    def write_settings(self, host: str, failure_domain: str = "a1", **changes) -> None:
+        """Write the settings file of a host."""
+        settings = {
+            "host": host,
+            "failure_domain": failure_domain,
+            "region": REGIONS[failure_domain],
+            "regions": REGIONS,
+            "address": f"{self.net}.1.{int(host[1:])}",
+            "peer_ports": [PEERS_PORT, PEERS_PORT + 10],
+            "store": self.store,
+            "listen": {
+                "callers": self.address(host, CALLERS_PORT),
+                "readiness": self.address(host, READY_PORT),
+                "directory": self.address(host, DIRECTORY_PORT),
+            },
+            "limits": {
+                "retry_ratio": 0.2,
+                "retry_burst": 50,
+                "account_window_s": 5,
+                "account_over_ratio": 0.1,
+                "account_over": 20,
+                "grace_s": 3,
+                "most_ttl_s": 5,
+                "return_s": 2,
+            },
+            "answer_ttl_s": 1.5,
+            "log_level": "info",
+            "log_lines_per_s": 200,
+            **changes,
+        }
+        text = "// Settings of a test.\n" + json.dumps(settings)
+        (self.folder / f"{host}.json").write_text(text)
+
+    def is_ready(self, host: str) -> bool:
+        """Return whether a host says that it is ready."""
+        try:
+            address = self.address(host, READY_PORT)
+            return self.get(f"http://{address}/ready").status == 200
+        except OSError:
+            return False
+
+    def call(
+        self,
+        host: str,
+        path: str = "/reads/1",
+        method: str = "GET",
+        body: bytes | None = None,
+        request_id: str = "r1",
+        **headers: str,
+    ) -> Reply:
+        """Send a request of a caller."""
+        conn = http.client.HTTPConnection(
+            self.address(host, CALLERS_PORT), timeout=STOP_TIMEOUT_S
+        )
+        usual = {
+            "Host": HOST_NAME,
+            "Authorization": f"Bearer {KEY}",
+            "X-Almondgap-Request-Attempt-Id": request_id,
+            "X-Almondgap-Affinity-Key": "7",
+            "X-Almondgap-Deadline-Ms": "3000",
+        }
+        conn.request(method, path, body, {**usual, **headers})
+        response = conn.getresponse()
+        names = {name.lower(): value for name, value in response.getheaders()}
+        reply = Reply(response.status, names, response.read())
+        conn.close()
+        return reply
+
+    def get(self, url: str) -> Reply:
+        """Ask for a page."""
+        try:
+            with urllib.request.urlopen(url, timeout=5) as page:
+                return Reply(page.status, dict(page.headers), page.read())
+        except urllib.error.HTTPError as exc:
+            return Reply(exc.code, dict(exc.headers), exc.read())
+
+    def write(self, *rows: dict[str, Any]) -> None:
+        """Write rows into the store as an operator."""
+        self.post(f"http://{self.store}/control/rows", list(rows))
+
+    def set_mode(self, worker: int, mode: str) -> None:
+        """Set how a target behaves."""
+        address = f"{self.net}.0.1:{WORKERS_PORT + worker}"
+        self.post(f"http://{address}/control/mode", mode)
+
+    def list_runs(self, worker: int) -> dict[str, Any]:
+        """Return what ran at a target, and what it saw last."""
+        address = f"{self.net}.0.1:{WORKERS_PORT + worker}"
+        return json.loads(self.get(f"http://{address}/control/runs").body)
+
+    def post(self, url: str, node: Any) -> None:
+        """Send JSON to a stand-in."""
+        body = json.dumps(node).encode()
+        urllib.request.urlopen(urllib.request.Request(url, body, method="POST")).close()
+
+    def read_log(self, host: str) -> list[dict[str, Any]]:
+        """Return the lines that a host logged."""
+        lines = (self.folder / f"{host}.log").read_text().splitlines()
+        return [json.loads(line) for line in lines]
+
+    def stop_host(self, host: str) -> int:
+        """Ask a host to stop; return its exit code."""
+        process = self.processes.pop(host)
+        process.send_signal(signal.SIGTERM)
+        return process.wait(STOP_TIMEOUT_S)
+
+    def close(self) -> None:
+        """End all processes."""
+        for process in self.processes.values():
+            process.kill()
+            process.wait()
+        self.guard.close()
+
+    def wait_until(self, holds, timeout: float = START_TIMEOUT_S) -> None:
+        """Wait until something holds.
+
+        :raises TimeoutError: it does not hold in time.
+        """
+        end = time.monotonic() + timeout
+        while not holds():
+            if time.monotonic() > end:
+                raise TimeoutError(f"{holds} does not hold after {timeout} s")
+            time.sleep(POLL_S)
+
+    def wait_for_port(self, name: str, address: str) -> None:
+        """Wait until a process listens."""
+        host, _, port = address.rpartition(":")
+
+        def listens() -> bool:
+            if self.processes[name].poll() is not None:
+                raise RuntimeError(f"{name} ended")
+            with socket.socket() as probe:
+                return probe.connect_ex((host, int(port))) == 0
+
+        self.wait_until(listens)
+
+    def _run(self, name: str, module: str, *args) -> None:
+        command = [sys.executable, "-m", module, "--address", f"{self.net}.0.1"]
+        self.processes[name] = subprocess.Popen(
+            command + [str(arg) for arg in args], stdout=subprocess.DEVNULL
+        )
+
+
+def _reserve_net() -> tuple[str, socket.socket]:
+    for octet in range(FIRST_NET, LAST_NET):
+        guard = socket.socket()
+        try:
+            guard.bind((f"127.{octet}.{GUARD_PLACE}", GUARD_PORT))
+        except OSError:
+            guard.close()
+            continue
+        guard.listen()
+        return f"127.{octet}", guard
+    raise RuntimeError("no free net on loopback")
--- /dev/null
+++ b/packages/almondgap-testkit/almondgap_testkit/gateways/world.py
@@ -0,0 +1,394 @@
+"""Gateways and targets in virtual time, to replay a load.
+
+The gateways' reducers are the real ones. Targets, the way to them and callers are
+models: a target has slots, a queue and objects that it keeps warm; what goes over the
+network takes its time and can be cut.
+"""
+
+from __future__ import annotations
+
+import random
+from collections import deque
+
+from attrs import Factory, define, field
+
+from almondgap_core.gateway.configuration import Configuration
+from almondgap_core.gateway.effects import (
+    Abandon,
+    AskTokens,
+    AwaitTokens,
+    Cancel,
+    Deliver,
+    Expire,
+    Forget,
+    GiveTokens,
+    Log,
+    Probe,
+    Refuse,
+    Send,
+    SendBeat,
+)
+from almondgap_core.gateway.events import (
+    AttemptFailed,
+    BeatHeard,
+    CallArrived,
+    CallerLeft,
+    CallExpired,
+    ConfigurationRead,
+    Failure,
+    GatewayEvent,
+    ProbeEnded,
+    TargetAnswered,
+    TargetsRead,
+    Ticked,
+    TokensAsked,
+    TokensGiven,
+    TokensOverdue,
+)
+from almondgap_core.gateway.fleet import meet_hosts
+from almondgap_core.gateway.reducer import step
+from almondgap_core.gateway.state import Bounds, GatewayState
+from almondgap_core.gateway.target import Announcement
+from almondgap_core.units import millis, seconds
+from almondgap_core.verdict import Refusal, Verdict
+from almondgap_testkit.fakes.clock import VirtualClock
+from almondgap_testkit.gateways.builders import (
+    HOST_NAME,
+    REGIONS,
+    START,
+    build_place,
+)
+
+#: Time of one way to another process.
+WAY_US = millis(2)
+
+TICK_US = millis(250)
+
+#: Objects that a model target keeps warm, and what work on others takes in relation.
+KEPT_WARM = 25
+UNWARMED = 3.3
+
+
+@define(eq=False)
+class ModelTarget:
+    """A target with slots and a queue.
+
+    :ivar work: time for a warm request, in microseconds.
+    :ivar mode: ``well``, ``dead`` (refuses connections), ``silent`` (never answers),
+        ``failing`` (answers 500), ``shedding`` (answers that it did not run).
+    :ivar runs: request ids that it began to work on, with the time.
+    """
+
+    announced: Announcement
+    work: int = millis(100)
+    queue_length: int = 9
+    mode: str = "well"
+    running: int = 0
+    waiting: deque = Factory(deque)
+    warm: dict[str, int] = Factory(dict)
+    runs: list[tuple[int, str]] = Factory(list)
+
+    def take_time(self, thing: str) -> int:
+        """Return the time that work on an object takes now."""
+        warm = thing in self.warm
+        self.warm.pop(thing, None)
+        self.warm[thing] = 1
+        while len(self.warm) > KEPT_WARM:
+            del self.warm[next(iter(self.warm))]
+        return self.work if warm else round(self.work * UNWARMED)
+
+
+@define
+class Outcome:
+    """How a caller's request ended.
+
+    :ivar refusal: the host's own answer, None if a target answered.
+    """
+
+    request_id: str
+    host: str
+    asked: int
+    ended: int
+    idempotent: bool
+    status: int
+    refusal: Refusal | None = None
+
+    @property
+    def took(self) -> int:
+        """Time from the request to the answer, in microseconds."""
+        return self.ended - self.asked
+
+
+@define(eq=False)
+class ModelHost:
+    """A gateway in the world."""
+
+    state: GatewayState
+    alive: bool = True
+    open: dict[int, CallArrived] = Factory(dict)
+    attempts: dict[tuple[int, int], Send] = Factory(dict)
+
+
+@define
+class World:
+    """Hosts, targets and what happens to them."""
+
+    configuration: Configuration
+    clock: VirtualClock = Factory(lambda: VirtualClock(START))
+    chance: random.Random = Factory(lambda: random.Random(1))
+    bounds: Bounds = Factory(Bounds)
+    hosts: dict[str, ModelHost] = Factory(dict)
+    targets: dict[str, ModelTarget] = Factory(dict)
+    outcomes: list[Outcome] = Factory(list)
+    reports: list[tuple[int, str, object]] = Factory(list)
+    cut: set[str] = Factory(set)
+    _number: int = 0
+    _incarnation: int = 0
+    _numbers: dict[str, int] = field(factory=dict)
+
+    def add_target(self, announced: Announcement, **fields) -> ModelTarget:
+        """Add a target; call it before hosts are added."""
+        target = ModelTarget(announced, **fields)
+        self.targets[announced.target] = target
+        return target
+
+    def add_host(self, name: str, failure_domain: str = "a1") -> ModelHost:
+        """Start a host that knows all targets; starts it anew if it is there."""
+        self._incarnation += 1
+        place = build_place(name, failure_domain)
+        state = GatewayState(
+            place,
+            self._incarnation,
+            REGIONS,
+            self.bounds,
+            seed=self.chance.getrandbits(60),
+        )
+        host = self.hosts[name] = ModelHost(state)
+        meet_hosts(state, [other.state.place for other in self.hosts.values()])
+        self._feed(host, ConfigurationRead, self.configuration)
+        listed = tuple(target.announced for target in self.targets.values())
+        self._feed(host, TargetsRead, listed)
+        self._tick(host)
+        return host
+
+    def kill_host(self, name: str) -> None:
+        """Kill a host with all it knows; its callers get nothing."""
+        self.hosts[name].alive = False
+
+    def call(
+        self,
+        host: str,
+        path: str = "/reads/1",
+        thing: str = "1",
+        key: str = "key-of-one",
+        patience: int = seconds(3),
+    ) -> str:
+        """Let a request arrive now at a host; return its id."""
+        self._number += 1
+        request_id = f"r{self._number}"
+        model = self.hosts[host]
+        event = CallArrived(
+            self.clock.now,
+            self._number,
+            request_id,
+            "GET",
+            HOST_NAME,
+            path,
+            key,
+            thing,
+            patience,
+        )
+        if model.alive:
+            model.open[self._number] = event
+            self._numbers[request_id] = self._number
+            self._perform(model, step(model.state, event))
+        return request_id
+
+    def leave(self, host: str, request_id: str) -> None:
+        """Let the caller of a request leave."""
+        model = self.hosts[host]
+        number = self._numbers[request_id]
+        if model.open.pop(number, None) is not None:
+            self._feed(model, CallerLeft, number)
+
+    def load(
+        self, hosts: list[str], rate: float, duration: int, start: int = 0, **call
+    ) -> None:
+        """Let requests arrive at random for some time.
+
+        :param rate: requests per second over all hosts.
+        :param duration: microseconds, from ``start`` after now.
+        """
+        at = self.clock.now + start
+        end = at + duration
+        things = call.pop("things", 20)
+        while True:
+            at += round(self.chance.expovariate(rate) * 1_000_000)
+            if at >= end:
+                return
+            host = self.chance.choice(hosts)
+            thing = str(self.chance.randrange(things))
+            self.clock.call_at(
+                at, lambda host=host, thing=thing: self.call(host, thing=thing, **call)
+            )
+
+    def run(self, duration: int) -> None:
+        """Let time pass."""
+        self.clock.run_until(self.clock.now + duration)
+
+    def count_runs(self, request_id: str) -> int:
+        """Return how often a request ran at targets."""
+        return sum(
+            run_id == request_id
+            for target in self.targets.values()
+            for _, run_id in target.runs
+        )
+
+    def _tick(self, host: ModelHost) -> None:
+        if host.alive:
+            self._feed(host, Ticked)
+            self.clock.call_later(TICK_US, lambda: self._tick(host))
+
+    def _feed(self, host: ModelHost, kind: type[GatewayEvent], *args, **fields) -> None:
+        if host.alive:
+            self._perform(host, step(host.state, kind(self.clock.now, *args, **fields)))
+
+    def _perform(self, host: ModelHost, effects) -> None:
+        for effect in effects:
+            if isinstance(effect, Send):
+                self._send(host, effect)
+            elif isinstance(effect, Refuse):
+                self._end(host, effect.call, effect.refusal.status, effect.refusal)
+            elif isinstance(effect, Deliver):
+                self._end(host, effect.call, 200, None)
+            elif isinstance(effect, Expire):
+                self.clock.call_later(
+                    effect.delay,
+                    lambda effect=effect: self._feed(host, CallExpired, effect.call),
+                )
+            elif isinstance(effect, SendBeat):
+                self._send_beat(host, effect)
+            elif isinstance(effect, Probe):
+                self._probe(host, effect)
+            elif isinstance(effect, AskTokens | GiveTokens):
+                self._send_tokens(host, effect)
+            elif isinstance(effect, AwaitTokens):
+                self.clock.call_later(
+                    effect.delay,
+                    lambda effect=effect: self._feed(
+                        host, TokensOverdue, effect.account
+                    ),
+                )
+            elif isinstance(effect, Log):
+                name = host.state.place.host
+                self.reports.append((self.clock.now, name, effect.report))
+            elif isinstance(effect, Cancel | Abandon):
+                host.attempts.pop((effect.call, effect.attempt), None)
+            else:
+                assert isinstance(effect, Forget), effect
+
+    def _end(
+        self, host: ModelHost, number: int, status: int, refusal: Refusal | None
+    ) -> None:
+        event = host.open.pop(number, None)
+        if event is not None:
+            route = self.configuration.find_route(HOST_NAME, event.path)
+            self.outcomes.append(
+                Outcome(
+                    event.request_id,
+                    host.state.place.host,
+                    event.now,
+                    self.clock.now,
+                    route is not None and route.idempotent,
+                    status,
+                    refusal,
+                )
+            )
+
+    def _send_beat(self, host: ModelHost, effect: SendBeat) -> None:
+        sender = host.state.place.host
+        for address in effect.addresses:
+            name = address.partition(":")[0]
+            if name in self.cut or sender in self.cut or name not in self.hosts:
+                continue
+            self.clock.call_later(
+                WAY_US,
+                lambda name=name: self._feed(self.hosts[name], BeatHeard, effect.beat),
+            )
+
+    def _send_tokens(self, host: ModelHost, effect: AskTokens | GiveTokens) -> None:
+        sender = host.state.place
+        name = effect.address.partition(":")[0]
+        if name in self.cut or sender.host in self.cut or name not in self.hosts:
+            return
+        said = (effect.account, effect.tokens)
+        asked = isinstance(effect, AskTokens)
+        event = (TokensAsked, sender.peers, *said) if asked else (TokensGiven, *said)
+        self.clock.call_later(WAY_US, lambda: self._feed(self.hosts[name], *event))
+
+    def _probe(self, host: ModelHost, effect: Probe) -> None:
+        target = self.targets[effect.target]
+        healthy = target.mode in ("well", "failing")
+        self.clock.call_later(
+            2 * WAY_US, lambda: self._feed(host, ProbeEnded, effect.target, healthy)
+        )
+
+    def _send(self, host: ModelHost, send: Send) -> None:
+        host.attempts[send.call, send.attempt] = send
+        target = self.targets[send.target]
+        event = host.open[send.call]
+        if target.mode == "dead":
+            failure = (Failure.NOT_CONNECTED, Verdict.NOT_RUN)
+            self._later(host, send, AttemptFailed, *failure)
+        else:
+            self.clock.call_later(
+                WAY_US, lambda: self._reach(host, send, target, event)
+            )
+
+    def _reach(
+        self, host: ModelHost, send: Send, target: ModelTarget, event: CallArrived
+    ) -> None:
+        slots = target.announced.slots
+        if target.mode == "shedding" or len(target.waiting) >= target.queue_length:
+            self._answer(host, send, target, 503, not_executed=True)
+        elif target.running < slots:
+            self._work(host, send, target, event)
+        else:
+            target.waiting.append((host, send, event))
+
+    def _work(
+        self, host: ModelHost, send: Send, target: ModelTarget, event: CallArrived
+    ) -> None:
+        target.running += 1
+        target.runs.append((self.clock.now, event.request_id))
+        took = target.take_time(event.thing)
+        self.clock.call_later(took, lambda: self._finish(host, send, target))
+
+    def _finish(self, host: ModelHost, send: Send, target: ModelTarget) -> None:
+        target.running -= 1
+        while target.waiting and target.running < target.announced.slots:
+            waiting_host, waiting, event = target.waiting.popleft()
+            if (waiting.call, waiting.attempt) in waiting_host.attempts:
+                self._work(waiting_host, waiting, target, event)
+        if target.mode != "silent":
+            status = 500 if target.mode == "failing" else 200
+            self._answer(host, send, target, status, not_executed=False)
+
+    def _answer(
+        self,
+        host: ModelHost,
+        send: Send,
+        target: ModelTarget,
+        status: int,
+        not_executed: bool,
+    ) -> None:
+        load = (target.running, len(target.waiting))
+        fields = (status, not_executed, False, not not_executed, load)
+        self._later(host, send, TargetAnswered, *fields)
+
+    def _later(self, host: ModelHost, send: Send, kind, *args) -> None:
+        def arrive() -> None:
+            if host.attempts.pop((send.call, send.attempt), None) is not None:
+                self._feed(host, kind, send.call, send.attempt, *args)
+
+        self.clock.call_later(WAY_US, arrive)
--- /dev/null
+++ b/packages/almondgap-testkit/almondgap_testkit/standins/workers.py
@@ -0,0 +1,156 @@
+"""Stand-in targets that speak what the platform's published protocol says.
+
+Each listens on a port of its own, announces itself in the store, keeps count of what it
+ran, and misbehaves as ``/control/mode`` tells.
+"""
+
+from __future__ import annotations
+
+import argparse
+import json
+import time
+from urllib.request import Request, urlopen
+
+from attrs import Factory, define, field
+from klein import Klein
+from twisted.internet import reactor
+from twisted.internet.defer import CancelledError
+from twisted.internet.task import deferLater
+from twisted.web.server import NOT_DONE_YET
+
+from almondgap_testkit.standins.serving import answer_json, listen, run
+
+ID = "X-Almondgap-Request-Attempt-Id"
+SEAL = "X-Almondgap-Response-Seal"
+
+
+@define
+class Worker:
+    """One target.
+
+    :ivar mode: ``well``, ``failing``, ``shedding``, ``cutting`` (ends the connection
+        after it ran the request) or ``unsealed``.
+    :ivar runs: how often each request ran, by its id.
+    :ivar seen: headers of the newest request.
+    """
+
+    name: str
+    service: str
+    address: str
+    failure_domain: str
+    slots: int = 4
+    work_s: float = 0.02
+    mode: str = "well"
+    born: int = field(factory=lambda: time.time_ns() // 1_000_000)
+    running: int = 0
+    runs: dict[str, int] = Factory(dict)
+    seen: dict[str, str] = Factory(dict)
+    app: Klein = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self.app = Klein()
+        self.app.route("/health")(self.tell_health)
+        self.app.route("/control/mode", methods=["POST"])(self.set_mode)
+        self.app.route("/control/runs")(self.tell_runs)
+        self.app.route("/<path:path>", methods=["GET", "POST", "PUT", "DELETE"])(
+            self.serve
+        )
+
+    def announce(self, state: str = "ready") -> dict:
+        """Return the row by which the target announces itself."""
+        value = {
+            "address": self.address,
+            "born": self.born,
+            "info": {
+                "backend": self.service,
+                "version": "v1",
+                "zone": self.failure_domain,
+                "slots": self.slots,
+            },
+            "status": {"state": state, "seq": 1, "cold_left_s": 0},
+        }
+        return {"table": "servers", "key": self.name, "value": value}
+
+    def tell_health(self, request):
+        """Answer a health check."""
+        request.setHeader("X-Almondgap-Instance-Id", self.name)
+        request.setResponseCode(200 if self.mode != "failing" else 503)
+        return b""
+
+    def set_mode(self, request):
+        """Set how the target behaves."""
+        self.mode = json.loads(request.content.read())
+        return b""
+
+    def tell_runs(self, request):
+        """Return what ran, and the headers of the newest request."""
+        return answer_json(request, {"runs": self.runs, "seen": self.seen})
+
+    async def serve(self, request, path: str):
+        """Run a request."""
+        expected = request.getHeader("X-Almondgap-Expect-Instance")
+        request_id = request.getHeader(ID) or ""
+        request.setHeader(ID, request_id)
+        if expected not in (None, self.name):
+            request.setResponseCode(421)
+            return b""
+        if self.mode == "shedding":
+            request.setResponseCode(503)
+            request.setHeader("X-Almondgap-Not-Executed", "1")
+            return b""
+        self.runs[request_id] = self.runs.get(request_id, 0) + 1
+        self.seen = {
+            name.decode().lower(): values[0].decode()
+            for name, values in request.requestHeaders.getAllRawHeaders()
+        }
+        self.running += 1
+        gone = request.notifyFinish()
+        gone.addErrback(lambda failure: failure.trap(Exception))
+        try:
+            await deferLater(reactor, self.work_s)
+        except CancelledError:
+            return NOT_DONE_YET
+        finally:
+            self.running -= 1
+        if self.mode == "cutting":
+            request.transport.abortConnection()
+            return NOT_DONE_YET
+        if self.mode != "unsealed":
+            request.setHeader(SEAL, f"{self.name}.{request_id}")
+        request.setHeader("X-Almondgap-Server-Load", f"{self.running},0,{self.slots}")
+        request.setResponseCode(500 if self.mode == "failing" else 200)
+        body = request.content.read()
+        return f"{self.name} {request.method.decode()} /{path} ".encode() + body
+
+
+def main() -> None:
+    """Run targets, and announce them."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--address", default="127.0.0.1")
+    parser.add_argument("--port", type=int, required=True, help="port of the first")
+    parser.add_argument("--count", type=int, default=2)
+    parser.add_argument("--service", default="shop")
+    parser.add_argument("--failure-domains", default="a1", help="in turn")
+    parser.add_argument("--store", required=True, help="address with the port")
+    parser.add_argument("--work", type=float, default=0.02, help="seconds")
+    args = parser.parse_args()
+    domains = args.failure_domains.split(",")
+    rows = []
+    for number in range(args.count):
+        port = args.port + number
+        worker = Worker(
+            f"{args.service}-{number}",
+            args.service,
+            f"{args.address}:{port}",
+            domains[number % len(domains)],
+            work_s=args.work,
+        )
+        listen(worker.app.resource(), args.address, port)
+        rows.append(worker.announce())
+    url = f"http://{args.store}/control/rows"
+    urlopen(Request(url, json.dumps(rows).encode(), method="POST")).close()
+    run()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/core/gateway/test_cold.py
@@ -0,0 +1,58 @@
+"""Requests to cold targets.
+
+Load pattern: a failure domain whose targets come back empty together, while requests
+for them keep coming at several hosts.
+"""
+
+from __future__ import annotations
+
+from unittest import TestCase
+
+from almondgap_core.gateway.configuration import Account
+from almondgap_core.gateway.events import EvacuationsRead
+from almondgap_core.units import millis, seconds
+from almondgap_testkit.gateways.builders import KEY, announce, build_configuration
+from almondgap_testkit.gateways.world import World
+
+HOSTS = ["h1", "h2", "h3", "h4"]
+RATE = 5.0
+BOUND = RATE * 1.5 + 5
+
+
+class ColdTests(TestCase):
+    def test_cold_targets_get_few_requests_over_all_hosts(self):
+        cfg = build_configuration(accounts={"one": Account("one", frozenset({KEY}))})
+        world = World(cfg)
+        for number in range(2):
+            announced = announce(f"t{number}", slots=20, cold_left=seconds(3))
+            world.add_target(announced, work=millis(20))
+        for name in HOSTS:
+            world.add_host(name)
+        world.load(HOSTS, 100, seconds(3))
+        world.run(seconds(3))
+        for target in world.targets.values():
+            times = [at for at, _ in target.runs]
+            for start in times:
+                count = sum(start <= at < start + seconds(1) for at in times)
+                self.assertLessEqual(count, BOUND)
+        ran = sum(len(target.runs) for target in world.targets.values())
+        self.assertGreaterEqual(ran, 2 * RATE)
+
+    def test_targets_of_a_domain_taken_back_are_cold_at_every_host(self):
+        cfg = build_configuration(accounts={"one": Account("one", frozenset({KEY}))})
+        world = World(cfg)
+        target = world.add_target(announce("t1", slots=20), work=millis(20))
+        for name in HOSTS:
+            world.add_host(name)
+        for host in world.hosts.values():
+            world._feed(host, EvacuationsRead, frozenset({"a1"}))
+        world.load(HOSTS, 100, seconds(6))
+        world.run(seconds(2))
+        self.assertEqual(target.runs, [])
+        for host in world.hosts.values():
+            world._feed(host, EvacuationsRead, frozenset())
+        world.run(seconds(2))
+        times = [at for at, _ in target.runs]
+        for start in times:
+            count = sum(start <= at < start + seconds(1) for at in times)
+            self.assertLessEqual(count, BOUND)
--- /dev/null
+++ b/tests/daemon/gateway/test_logs.py
@@ -0,0 +1,101 @@
+from __future__ import annotations
+
+import json
+import os
+from unittest import TestCase
+
+from almondgap_core.gateway.reports import (
+    ConfigurationChanged,
+    RequestAnswered,
+    RetryDenied,
+)
+from almondgap_daemon.gateway.logs import MOST_WAITING_BYTES, LineWriter, ReportLog
+
+ANSWERED = RequestAnswered("r1", "one", "shop", True, "t1", 200, 12, 1)
+
+
+class Pipe:
+    """A log that writes into a pipe, at a time that the test sets."""
+
+    def __init__(self, lines_per_s: int = 10) -> None:
+        self.reader, self.descriptor = os.pipe()
+        os.set_blocking(self.reader, False)
+        self.now = 100.0
+        self.rest = b""
+        self.writer = LineWriter(self.descriptor)
+        self.log = ReportLog(self.writer, "h1", lines_per_s, lambda: self.now)
+
+    def read(self) -> list[dict]:
+        """Return the lines written so far."""
+        data, self.rest = self.rest, b""
+        try:
+            while chunk := os.read(self.reader, 65_536):
+                data += chunk
+        except BlockingIOError:
+            pass
+        whole, _, self.rest = data.rpartition(b"\n")
+        return [json.loads(line) for line in whole.splitlines()]
+
+    def close(self) -> None:
+        """Close both ends."""
+        os.close(self.reader)
+        os.close(self.descriptor)
+
+
+class LogTests(TestCase):
+    def build(self, **fields) -> Pipe:
+        pipe = Pipe(**fields)
+        self.addCleanup(pipe.close)
+        return pipe
+
+    def test_line_names_event_host_and_fields(self):
+        pipe = self.build()
+        pipe.log.write_report(ANSWERED)
+        (line,) = pipe.read()
+        self.assertEqual(line["event"], "request answered")
+        self.assertEqual(line["host"], "h1")
+        self.assertEqual(line["took_ms"], 12)
+
+    def test_lines_about_requests_are_bounded_and_counted(self):
+        pipe = self.build(lines_per_s=10)
+        for _ in range(50):
+            pipe.log.write_report(ANSWERED)
+        pipe.log.write_report(ConfigurationChanged(2, 1, 3, 4))
+        pipe.log.tick()
+        lines = pipe.read()
+        events = [line["event"] for line in lines]
+        self.assertEqual(events.count("request answered"), 7)
+        self.assertEqual(events.count("configuration changed"), 1)
+        self.assertEqual(lines[-1]["bounded"], 43)
+
+    def test_some_lines_are_kept_for_requests_that_failed(self):
+        pipe = self.build(lines_per_s=10)
+        for _ in range(50):
+            pipe.log.write_report(ANSWERED)
+        pipe.log.write_report(RetryDenied("r2", "shop", 0.5))
+        self.assertEqual(pipe.read()[-1]["event"], "retry denied")
+
+    def test_next_second_has_room_again(self):
+        pipe = self.build(lines_per_s=10)
+        for _ in range(3):
+            for _ in range(50):
+                pipe.log.write_report(ANSWERED)
+            pipe.now += 1
+        self.assertEqual(len(pipe.read()), 21)
+
+    def test_reader_that_stops_never_holds_the_writer_up(self):
+        pipe = self.build()
+        written = 0
+        while pipe.writer.dropped < 100:
+            pipe.log.write("filler", text="x" * 1_000)
+            written += 1
+            self.assertLess(written, 2_000)
+        waiting = pipe.writer._waiting
+        self.assertLessEqual(len(waiting), MOST_WAITING_BYTES)
+        rest = []
+        for _ in range(12):
+            rest += pipe.read()
+            pipe.log.tick()
+        rest += pipe.read()
+        noted = [line for line in rest if line["event"] == "lines left out"]
+        self.assertEqual(noted[0]["unread"], 100)
--- a/tests/fuzz/test_parsers.py
+++ b/tests/fuzz/test_parsers.py
@@ -23,8 +23,8 @@
 from almondgap_core.settings.parsing import parse_document
 from almondgap_core.settings.reader import Report
 from almondgap_core.settings.rollout import load_inventory
-from almondgap_daemon.tables.codec import load_hosts, load_result, load_transaction
 from almondgap_daemon.settings import Settings
+from almondgap_daemon.tables.codec import load_hosts, load_result, load_transaction
 from almondgap_testkit.builders import build_document
 from almondgap_testkit.scenarios.parsing import ScenarioError, parse_scenario
 
