Let each failure domain own its part of a limit, held by as many hosts as is useful

Ruled out: telling sums of regions by one speaker each (a speaker's death leaves the sums stale while demand jumps, and parts add up to more than the limit).

Change: every failure domain owns an equal part, held by a few hosts that all find by hashing; others ask them, the nearest first. Hosts tell each other only that they are there, and other regions every fourth second. Changes of targets are gathered for 0.8 s in place of 0.2 s before the next call of the store.

--- a/packages/almondgap-core/almondgap_core/gateway/admission.py
+++ b/packages/almondgap-core/almondgap_core/gateway/admission.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-from almondgap_core.gateway.configuration import Route
+from almondgap_core.gateway.allotments import Allotment
+from almondgap_core.gateway.configuration import Account, Route
 from almondgap_core.gateway.events import CallArrived
-from almondgap_core.gateway.shares import count_others, refill
+from almondgap_core.gateway.holders import find_holding
 from almondgap_core.gateway.state import Call, GatewayState
 from almondgap_core.units import MICROS_PER_SECOND, millis
 from almondgap_core.verdict import Reason, Refusal, Verdict
@@ -15,6 +16,10 @@
 #: Greatest time that a caller over its rate is told to wait.
 MOST_WAIT_US = 5 * MICROS_PER_SECOND
 
+#: Part of an account's rate by which a host that holds none of it reckons when tokens
+#: will be there: those of a holder come in turn.
+LEAST_PART = 0.1
+
 
 def check_call(state: GatewayState, event: CallArrived) -> Call | Refusal:
     """Return a request that route and key allow, or why it is refused."""
@@ -58,22 +63,36 @@
     return chosen
 
 
+def find_allotment(state: GatewayState, account: Account) -> Allotment:
+    """Return the tokens of an account on this host."""
+    allotment = state.allotments.get(account.name)
+    if allotment is None:
+        allotment = state.allotments[account.name] = Allotment(state.serving_since)
+    return allotment
+
+
+def refill_tokens(state: GatewayState, account: Account, now: int) -> Allotment:
+    """Return the tokens of an account on this host as they are now."""
+    allotment = find_allotment(state, account)
+    allotment.refill(find_holding(state, account), now)
+    return allotment
+
+
 def take_token(state: GatewayState, call: Call, now: int) -> Refusal | None:
     """Take a token of a request's account; return why it is refused without one."""
     account = call.account
     if account is None or account.rate <= 0:
         return None
-    allotment = refill(state, account, now)
+    allotment = refill_tokens(state, account, now)
     if allotment.take():
         return None
-    others = count_others(state)
-    wait = min(allotment.compute_wait(account.rate, others), MOST_WAIT_US)
+    holding = find_holding(state, account)
     detail = (
-        f"account asks {allotment.asked.read(now):.1f}/s here "
-        f"(told {allotment.told:.1f}/s) and "
-        f"{allotment.elsewhere:.1f}/s elsewhere of {account.rate:g}/s; "
-        f"share {allotment.find_share(account.rate, others):.3f}"
+        f"no token of {account.rate:g}/s: {allotment.asked.read(now):.1f}/s asked "
+        f"here, part held here {holding.share:.3f}, {allotment.level:.1f} tokens left"
     )
+    missing = (1.0 - allotment.level) / max(holding.rate, account.rate * LEAST_PART)
+    wait = min(round(missing * MICROS_PER_SECOND), MOST_WAIT_US)
     return _refuse(429, Reason.OVER_RATE, detail, wait)
 
 
--- a/packages/almondgap-core/almondgap_core/gateway/beats.py
+++ b/packages/almondgap-core/almondgap_core/gateway/beats.py
@@ -1,8 +1,8 @@
-"""What hosts tell each other about once a second."""
+"""What hosts tell each other of themselves."""
 
 from __future__ import annotations
 
-from attrs import Factory, define, frozen
+from attrs import define, frozen
 
 
 @frozen
@@ -28,7 +28,6 @@
     :ivar sequence: number of the beat within the run.
     :ivar ready: whether callers may be sent to it.
     :ivar version: version of its configuration, 0 without one.
-    :ivar asked: requests per second that each client account asks of it.
     """
 
     place: HostPlace
@@ -36,7 +35,6 @@
     sequence: int
     ready: bool
     version: int = 0
-    asked: dict[str, float] = Factory(dict)
 
 
 @define
--- a/packages/almondgap-core/almondgap_core/gateway/calls.py
+++ b/packages/almondgap-core/almondgap_core/gateway/calls.py
@@ -2,7 +2,11 @@
 
 from __future__ import annotations
 
-from almondgap_core.gateway.admission import check_call, take_token
+from almondgap_core.gateway.admission import (
+    check_call,
+    find_allotment,
+    take_token,
+)
 from almondgap_core.gateway.attempts import note_failure, note_silence, send_call
 from almondgap_core.gateway.effects import Abandon, Cancel, Deliver, Expire, Refuse
 from almondgap_core.gateway.events import (
@@ -30,11 +34,10 @@
     RetryDenied,
 )
 from almondgap_core.gateway.retries import RetryAllowance
-from almondgap_core.gateway.shares import find_allotment
 from almondgap_core.gateway.state import Call, GatewayState
 from almondgap_core.gateway.tokens import (
     ask_for_tokens,
-    end_waiting,
+    handle_overdue,
     handle_tokens_asked,
     receive_tokens,
 )
@@ -65,7 +68,7 @@
     state.calls[call.number] = call
     state.perform(Expire(call.number, call.expires - event.now))
     if call.account is not None:
-        allotment = find_allotment(state, call.account_name)
+        allotment = find_allotment(state, call.account)
         allotment.asked.count(event.now)
     refusal = take_token(state, call, event.now)
     if refusal is None:
@@ -76,13 +79,12 @@
 
 def handle_tokens_given(state: GatewayState, event: TokensGiven) -> None:
     """Go on with requests that waited for tokens."""
-    receive_tokens(state, event.account, event.tokens)
-    _end_waiting(state, event.account, event.now)
+    _end_waiting(state, receive_tokens(state, event), event.now)
 
 
 def handle_tokens_overdue(state: GatewayState, event: TokensOverdue) -> None:
-    """Refuse requests for which no tokens came."""
-    _end_waiting(state, event.account, event.now)
+    """Ask elsewhere for tokens that did not come, or refuse."""
+    _end_waiting(state, handle_overdue(state, event), event.now)
 
 
 def place_call(state: GatewayState, call: Call, now: int) -> None:
@@ -216,8 +218,10 @@
     place_call(state, call, now)
 
 
-def _end_waiting(state: GatewayState, account: str, now: int) -> None:
-    for call, refusal in end_waiting(state, account, now):
+def _end_waiting(
+    state: GatewayState, ended: list[tuple[Call, Refusal | None]], now: int
+) -> None:
+    for call, refusal in ended:
         if call.number not in state.calls:
             # Its caller left, or its time was over.
             continue
--- a/packages/almondgap-core/almondgap_core/gateway/cold.py
+++ b/packages/almondgap-core/almondgap_core/gateway/cold.py
@@ -2,8 +2,8 @@
 
 Answers the load of a failure domain whose targets come back empty all at once. One host
 alone sends to a cold target, and at a steady pace: the host that ranks first for it
-among those that are heard. Hosts that disagree for a moment about who is heard each
-keep the pace, which leaves room for two of them.
+among those that are heard in its region. Hosts that disagree for a moment about who is
+heard each keep the pace, which leaves room for two of them.
 """
 
 from __future__ import annotations
@@ -27,10 +27,12 @@
     """Return whether this host may send a request to a cold target now."""
     if now < target.cold_next:
         return False
-    hosts = [state.place.host]
-    hosts += [peer.place.host for peer in list_heard(state, now) if peer.beat.ready]
-    first = max(hosts, key=lambda host: compute_rank(host, target.name))
-    return first == state.place.host
+    places = [state.place]
+    places += [peer.place for peer in list_heard(state, now) if peer.beat.ready]
+    region = state.find_region(target.announced.failure_domain)
+    near = [place for place in places if place.region == region] or places
+    first = max(near, key=lambda place: compute_rank(place.host, target.name))
+    return first.host == state.place.host
 
 
 def note_warming(state: GatewayState, target: Target, now: int) -> None:
--- a/packages/almondgap-core/almondgap_core/gateway/effects.py
+++ b/packages/almondgap-core/almondgap_core/gateway/effects.py
@@ -113,6 +113,7 @@
 
     address: str
     account: str
+    question: int
     tokens: float
 
 
@@ -124,6 +125,7 @@
     """
 
     account: str
+    question: int
     delay: int
 
 
@@ -137,6 +139,7 @@
 
     address: str
     account: str
+    question: int
     tokens: float
 
 
--- a/packages/almondgap-core/almondgap_core/gateway/events.py
+++ b/packages/almondgap-core/almondgap_core/gateway/events.py
@@ -174,6 +174,7 @@
 
     address: str
     account: str
+    question: int
     tokens: float
 
 
@@ -182,14 +183,16 @@
     """Another host answered a question for tokens; 0 if it gave none."""
 
     account: str
+    question: int
     tokens: float
 
 
 @frozen
 class TokensOverdue(GatewayEvent):
-    """No answer to a question for tokens came."""
+    """No answer to a question for tokens came in time."""
 
     account: str
+    question: int
 
 
 @frozen
--- a/packages/almondgap-core/almondgap_core/gateway/fleet.py
+++ b/packages/almondgap-core/almondgap_core/gateway/fleet.py
@@ -1,4 +1,9 @@
-"""Other hosts: who is there, what callers ask of them, and whom callers may use."""
+"""Other hosts: who is there, and whom callers may use.
+
+Hosts of one region hear each other every second, so that callers are told of no host
+that has died. Hosts of other regions are heard more rarely: they are asked for tokens
+and named to callers only when a region has no host left.
+"""
 
 from __future__ import annotations
 
@@ -10,48 +15,42 @@
     StopRequested,
     Ticked,
 )
+from almondgap_core.gateway.holders import note_members
 from almondgap_core.gateway.reports import HostChanged, StopBegun
-from almondgap_core.gateway.shares import (
-    handle_silence,
-    hold_parts,
-    note_told,
-    report_shares,
-)
 from almondgap_core.gateway.state import GatewayState, Peer
 from almondgap_core.units import MICROS_PER_MILLI, millis, seconds
 
-#: Time between two beats.
+#: Time between two beats to hosts of the same region, to hosts of other regions, and to
+#: hosts that are silent.
 BEAT_US = seconds(1)
-
-#: Time between beats to a host that is silent.
+FAR_BEAT_US = seconds(4)
 SILENT_BEAT_US = seconds(3)
 
 #: Silence after which callers are not sent to a host: two lost beats and a late one.
 SILENT_US = millis(2_600)
 
-#: Least demand for an account that is told, in requests per second.
-LEAST_TOLD = 0.05
+#: Silence after which a host of another region counts as lost, and after which callers
+#: are not sent to it: two lost beats and a late one, and one beat and a late one.
+FAR_SILENT_US = millis(8_600)
+FAR_NAMED_US = millis(4_600)
 
 #: Most hosts that are named to a caller.
 MOST_NAMED = 64
 
 
-def meet_hosts(state: GatewayState, places: list[HostPlace]) -> None:
+def meet_hosts(state: GatewayState, places: list[HostPlace], now: int) -> None:
     """Note the hosts that the store lists, and tell them of this one."""
     for place in places:
-        meet_host(state, place)
-    state.hosts_listed = True
-    state.next_beat = 0
-
-
-def meet_host(state: GatewayState, place: HostPlace) -> None:
-    """Note a host; whether it runs will be heard."""
-    if place.host != state.place.host:
+        if place.host == state.place.host:
+            continue
         peer = state.peers.get(place.host)
         if peer is None:
-            state.peers[place.host] = Peer(place)
+            state.peers[place.host] = Peer(place, met=now)
+            state.members_epoch += 1
         elif peer.heard is None:
             peer.place = place
+    state.hosts_listed = True
+    state.next_beat = now
 
 
 def handle_beat_heard(state: GatewayState, event: BeatHeard) -> None:
@@ -65,7 +64,8 @@
         return
     peer = state.peers.get(beat.place.host)
     if peer is None:
-        peer = state.peers[beat.place.host] = Peer(beat.place)
+        peer = state.peers[beat.place.host] = Peer(beat.place, met=event.now)
+        state.members_epoch += 1
     known = peer.beat
     if known is not None:
         age = (known.incarnation, known.sequence)
@@ -77,8 +77,8 @@
         state.report(HostChanged(beat.place.host, now_is, silent // MICROS_PER_MILLI))
     if known is None or known.incarnation != beat.incarnation:
         # A host that has just started hears of this one at once.
+        peer.told = None
         state.next_beat = event.now
-    note_told(state, peer, beat)
     peer.lost = False
     peer.stopped = not beat.ready and known is not None and known.ready
     peer.place = beat.place
@@ -89,19 +89,16 @@
 def handle_tick(state: GatewayState, event: Ticked) -> None:
     """Send a beat when it is time, and note hosts that fell silent."""
     for peer in state.peers.values():
-        silent = peer.heard is not None and event.now - peer.heard > SILENT_US
-        if silent and not peer.lost:
-            hold_parts(state, peer)
+        if peer.heard is None or peer.lost:
+            continue
+        silent = event.now - peer.heard
+        if silent > (SILENT_US if _is_near(state, peer) else FAR_SILENT_US):
             peer.lost = True
-            age = (event.now - peer.heard) // MICROS_PER_MILLI
+            age = silent // MICROS_PER_MILLI
             state.report(HostChanged(peer.place.host, "silent", age))
-    rising = any(
-        allotment.is_rising(event.now) for allotment in state.allotments.values()
-    )
-    if rising or event.now >= state.next_beat:
+    if event.now >= state.next_beat:
         _send_beat(state, event.now)
-    handle_silence(state, event.now)
-    report_shares(state)
+    note_members(state, event.now)
 
 
 def handle_stop_requested(state: GatewayState, event: StopRequested) -> None:
@@ -110,6 +107,8 @@
         return
     state.stopping = True
     state.report(StopBegun(len(state.calls)))
+    for peer in state.peers.values():
+        peer.told = None
     _send_beat(state, event.now)
 
 
@@ -118,7 +117,8 @@
     return [
         peer
         for peer in state.peers.values()
-        if peer.heard is not None and now - peer.heard <= SILENT_US
+        if peer.heard is not None
+        and now - peer.heard <= (SILENT_US if _is_near(state, peer) else FAR_NAMED_US)
     ]
 
 
@@ -135,7 +135,9 @@
         ready.append(state.place)
     near = [place for place in ready if place.failure_domain == failure_domain]
     if len(near) < 2:
-        near = [place for place in ready if place.region == region] or ready
+        near = [place for place in ready if place.region == region]
+    if not near:
+        near = [place for place in ready if place.region == state.place.region]
     return sorted(place.callers for place in near)[:MOST_NAMED]
 
 
@@ -147,27 +149,33 @@
 def _send_beat(state: GatewayState, now: int) -> None:
     state.next_beat = now + BEAT_US
     state.beat_sequence += 1
-    for allotment in state.allotments.values():
-        allotment.told = round(allotment.asked.read(now), 2)
-    asked = {name: allotment.told for name, allotment in state.allotments.items()}
     beat = Beat(
         state.place,
         state.incarnation,
         state.beat_sequence,
         state.ready,
         state.version,
-        {name: rate for name, rate in asked.items() if rate >= LEAST_TOLD},
     )
     addresses = []
     for peer in state.peers.values():
-        silent = peer.heard is None or now - peer.heard > SILENT_US
-        if not silent or now - peer.told >= SILENT_BEAT_US:
+        if peer.told is None or now - peer.told >= _find_pause(state, peer):
             peer.told = now
             addresses.append(peer.place.peers)
     if addresses:
         state.perform(SendBeat(beat, tuple(addresses)))
 
 
+def _find_pause(state: GatewayState, peer: Peer) -> int:
+    """Return the least time between two beats to a host; ticks come early or late."""
+    if peer.heard is None or peer.lost:
+        return SILENT_BEAT_US
+    return (BEAT_US if _is_near(state, peer) else FAR_BEAT_US) - BEAT_US // 2
+
+
+def _is_near(state: GatewayState, peer: Peer) -> bool:
+    return peer.place.region == state.place.region
+
+
 EVENT_HANDLERS: dict[type[GatewayEvent], object] = {
     BeatHeard: handle_beat_heard,
     StopRequested: handle_stop_requested,
--- a/packages/almondgap-core/almondgap_core/gateway/reports.py
+++ b/packages/almondgap-core/almondgap_core/gateway/reports.py
@@ -163,17 +163,6 @@
     failure_domains: tuple[str, ...]
 
 
-@frozen
-class LimitChanged(Report):
-    """The part of an account's limit that this host may use changed much."""
-
-    account: str
-    share: float
-    rate: float
-    asked_here: float
-    asked_elsewhere: float
-
-
 @frozen
 class HostChanged(Report):
     """What this host believes of another host changed."""
--- a/packages/almondgap-core/almondgap_core/gateway/state.py
+++ b/packages/almondgap-core/almondgap_core/gateway/state.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 from attrs import Factory, define, frozen
 
 from almondgap_core.gateway.allotments import Allotment, Tolerance
@@ -13,6 +15,9 @@
 from almondgap_core.gateway.target import Average, Target
 from almondgap_core.units import seconds
 
+if TYPE_CHECKING:
+    from almondgap_core.gateway.tokens import TokenWait
+
 
 @frozen
 class Bounds:
@@ -76,18 +81,22 @@
     """Another host as this one knows it.
 
     :ivar heard: when it last told something, None if never.
-    :ivar told: when this host last told it something.
+    :ivar told: when this host last told it something, None if it is to hear at once.
     :ivar lost: whether it fell silent.
     :ivar stopped: whether it said that it stops, so that it ends when it is silent.
+    :ivar gone: whether it counts no more: it has ended, or was silent for long.
+    :ivar met: when this host first learned of it.
     """
 
     place: HostPlace
     incarnation: int = 0
     beat: Beat | None = None
     heard: int | None = None
-    told: int = 0
+    told: int | None = None
     lost: bool = False
     stopped: bool = False
+    gone: bool = False
+    met: int = 0
 
 
 @define
@@ -95,10 +104,13 @@
     """Everything that a gateway knows and decides from.
 
     :ivar regions: region of each failure domain.
-    :ivar waiting: requests that wait for tokens, by client account.
+    :ivar token_waits: requests that wait for tokens, by client account.
+    :ivar question: number of the last question for tokens.
     :ivar work: time that a target takes for a request of a route, without waiting.
     :ivar hosts_listed: whether the store listed the hosts.
     :ivar serving_since: when the host had its first configuration.
+    :ivar members_epoch: number that changes whenever the hosts that count do.
+    :ivar holders: hosts that hold an account's limit, as long as that epoch lasts.
     :ivar epoch: number that changes whenever the set of usable targets does.
     :ivar ranks: targets in order for an object, as long as the epoch lasts.
     :ivar late: targets that the store no longer holds, and when they count as gone.
@@ -121,11 +133,14 @@
     store_regained: int | None = None
     peers: dict[str, Peer] = Factory(dict)
     hosts_listed: bool = False
+    members_epoch: int = 0
+    holders: dict[tuple[str, int], tuple] = Factory(dict)
     beat_sequence: int = 0
     next_beat: int = 0
     calls: dict[int, Call] = Factory(dict)
     allotments: dict[str, Allotment] = Factory(dict)
-    waiting: dict[str, list] = Factory(dict)
+    token_waits: dict[str, TokenWait] = Factory(dict)
+    question: int = 0
     retries: dict[str, RetryAllowance] = Factory(dict)
     work: dict[str, Average] = Factory(dict)
     backend_credit: dict[str, dict[str, float]] = Factory(dict)
--- a/packages/almondgap-core/almondgap_core/gateway/tokens.py
+++ b/packages/almondgap-core/almondgap_core/gateway/tokens.py
@@ -1,109 +1,150 @@
-"""Asking another host for tokens before a request is refused.
+"""Asking holders of a limit for tokens before a request is refused.
 
-Answers the load of small accounts over many hosts: each host has a token or two, and
-requests that come close together find none while others keep theirs unused. One message
-there and back brings some; the giver has given them up before it answers, so a lost
-answer loses tokens and never makes any. Nobody asks while the account is asked for more
-than its limit: there is nothing to be had.
+Answers the load of an account whose callers are at other hosts than its tokens: at a
+host that holds no part, or at one that gets more than its part. One message there and
+back brings some; the giver has given them up before it answers, so a lost answer loses
+tokens and never makes any. When nobody has any, the host does not ask again for a
+moment: an account at several times its rate costs few messages.
 """
 
 from __future__ import annotations
 
-from attrs import frozen
+from attrs import define
 
-from almondgap_core.gateway.admission import take_token
-from almondgap_core.gateway.allotments import Allotment
+from almondgap_core.gateway.admission import refill_tokens, take_token
 from almondgap_core.gateway.effects import AskTokens, AwaitTokens, GiveTokens
-from almondgap_core.gateway.events import TokensAsked
-from almondgap_core.gateway.shares import refill
+from almondgap_core.gateway.events import TokensAsked, TokensGiven, TokensOverdue
+from almondgap_core.gateway.holders import list_givers
 from almondgap_core.gateway.state import Call, GatewayState, Peer
 from almondgap_core.units import millis
 from almondgap_core.verdict import Refusal
 
-#: Tokens that are asked for at a time, to spare the next requests the wait.
-WANTED = 3.0
+#: Hosts that are asked for one request.
+MOST_ASKED = 3
 
-#: Longest wait for an answer: there and back between regions, and as much again.
-WAIT_US = millis(60)
+#: Tokens that are asked for: those for the requests that wait, and for some of the time
+#: that follows at the rate of now, so that an even stream asks less often.
+AHEAD_S = 0.5
+MOST_WANTED = 8.0
 
-#: Time after an answer without tokens, or without an answer, until the next question.
-PAUSE_US = millis(300)
+#: Longest wait for an answer of a host in the same failure domain, in the same region
+#: and in another one: there and back, and time for a busy host.
+WAIT_SAME_DOMAIN_US = millis(20)
+WAIT_SAME_REGION_US = millis(35)
+WAIT_OTHER_REGION_US = millis(60)
 
+#: Time for which a host is passed over that gave less than it was asked for.
+EMPTY_US = millis(250)
 
-@frozen
-class WaitingCall:
-    """A request that waits for tokens, and how it is refused without."""
+#: Time after asking in vain until the next question.
+PAUSE_US = millis(100)
 
-    call: Call
-    refusal: Refusal
+
+@define
+class TokenWait:
+    """Requests of one account that wait for tokens.
+
+    :ivar calls: requests with the refusal that each gets without a token.
+    :ivar givers: hosts that are to be asked next.
+    :ivar asked: host that was asked last.
+    :ivar wanted: tokens that it was asked for.
+    :ivar question: number of the question that runs.
+    """
+
+    calls: list[tuple[Call, Refusal]]
+    givers: list[Peer]
+    asked: str = ""
+    wanted: float = 0.0
+    question: int = 0
 
 
 def ask_for_tokens(state: GatewayState, call: Call, refusal: Refusal, now: int) -> bool:
-    """Let a request wait for tokens of another host; return whether there is hope."""
+    """Let a request wait for tokens of other hosts; return whether there is hope."""
     account = call.account
-    allotment = state.allotments[account.name]
-    waiting = state.waiting.get(account.name)
-    if waiting:
-        waiting.append(WaitingCall(call, refusal))
+    wait = state.token_waits.get(account.name)
+    if wait is not None:
+        wait.calls.append((call, refusal))
         return True
-    if now < allotment.ask_next or not allotment.is_asked_little(account.rate):
+    if now < state.allotments[account.name].ask_next:
         return False
-    peer = _choose_giver(state, account.name)
-    if peer is None:
+    empty = state.allotments[account.name].empty
+    givers = list_givers(state, account, empty, now)[:MOST_ASKED]
+    if not givers:
         return False
-    state.waiting[account.name] = [WaitingCall(call, refusal)]
-    allotment.ask_next = now + PAUSE_US
-    state.perform(AskTokens(peer.place.peers, account.name, WANTED))
-    state.perform(AwaitTokens(account.name, WAIT_US))
+    wait = TokenWait([(call, refusal)], givers)
+    state.token_waits[account.name] = wait
+    _ask_next(state, account.name, wait, now)
     return True
 
 
 def handle_tokens_asked(state: GatewayState, event: TokensAsked) -> None:
-    """Give tokens away that this host does not need itself."""
+    """Give tokens away, as far as there are any."""
     cfg = state.configuration
     account = cfg.accounts.get(event.account) if cfg is not None else None
-    if account is None or account.rate <= 0:
-        return
-    allotment = refill(state, account, event.now)
     given = 0.0
-    if allotment.is_asked_little(account.rate):
-        given = allotment.give(min(event.tokens, WANTED))
-    state.perform(GiveTokens(event.address, account.name, given))
+    if account is not None and account.rate > 0:
+        allotment = refill_tokens(state, account, event.now)
+        given = allotment.give(min(event.tokens, MOST_WANTED))
+    state.perform(GiveTokens(event.address, event.account, event.question, given))
 
 
-def receive_tokens(state: GatewayState, account: str, tokens: float) -> None:
-    """Add what another host gave; more than was asked for is not believed."""
-    allotment: Allotment | None = state.allotments.get(account)
-    if allotment is None or account not in state.waiting:
-        return
-    if 0.0 < tokens <= WANTED:
-        allotment.receive(tokens)
-        allotment.ask_next = 0
+def receive_tokens(
+    state: GatewayState, event: TokensGiven
+) -> list[tuple[Call, Refusal | None]]:
+    """Add what another host gave; return the requests that wait no longer."""
+    allotment = state.allotments.get(event.account)
+    if allotment is None or not 0.0 <= event.tokens <= MOST_WANTED:
+        return []
+    allotment.receive(event.tokens)
+    wait = state.token_waits.get(event.account)
+    if wait is not None and wait.question == event.question:
+        if event.tokens < wait.wanted:
+            allotment.empty[wait.asked] = event.now + EMPTY_US
+    return _go_on(state, event.account, event.question, event.now)
+
+
+def handle_overdue(
+    state: GatewayState, event: TokensOverdue
+) -> list[tuple[Call, Refusal | None]]:
+    """Ask the next host; return the requests that wait no longer."""
+    return _go_on(state, event.account, event.question, event.now)
 
 
-def end_waiting(
-    state: GatewayState, account: str, now: int
+def _go_on(
+    state: GatewayState, account: str, question: int, now: int
 ) -> list[tuple[Call, Refusal | None]]:
-    """Return the requests that waited for tokens; those without one are refused."""
-    ended = []
-    for waiting in state.waiting.pop(account, []):
-        missing = take_token(state, waiting.call, now)
-        ended.append((waiting.call, waiting.refusal if missing else None))
+    wait = state.token_waits.get(account)
+    if wait is None or wait.question != question:
+        return []
+    ended: list[tuple[Call, Refusal | None]] = []
+    while wait.calls:
+        call, _ = wait.calls[0]
+        if call.number in state.calls:
+            if take_token(state, call, now) is not None:
+                break
+            ended.append((call, None))
+        wait.calls.pop(0)
+    if wait.calls and wait.givers:
+        _ask_next(state, account, wait, now)
+        return ended
+    del state.token_waits[account]
+    if wait.calls:
+        state.allotments[account].ask_next = now + PAUSE_US
+        ended += wait.calls
     return ended
 
 
-def _choose_giver(state: GatewayState, account: str) -> Peer | None:
-    """Return a host in the same region that is asked least, None if there is none."""
-    near = [
-        peer
-        for peer in state.peers.values()
-        if peer.beat is not None
-        and not peer.lost
-        and peer.beat.ready
-        and peer.place.region == state.place.region
-    ]
-    if not near:
-        return None
-    least = min(peer.beat.asked.get(account, 0.0) for peer in near)
-    idle = [peer for peer in near if peer.beat.asked.get(account, 0.0) <= least * 1.3]
-    return idle[state.draw(len(idle))]
+def _ask_next(state: GatewayState, account: str, wait: TokenWait, now: int) -> None:
+    giver = wait.givers.pop(0).place
+    wait.asked = giver.host
+    state.question += 1
+    wait.question = state.question
+    ahead = state.allotments[account].asked.read(now) * AHEAD_S
+    wait.wanted = min(MOST_WANTED, float(int(len(wait.calls) + ahead)))
+    state.perform(AskTokens(giver.peers, account, wait.question, wait.wanted))
+    delay = WAIT_OTHER_REGION_US
+    if giver.failure_domain == state.place.failure_domain:
+        delay = WAIT_SAME_DOMAIN_US
+    elif giver.region == state.place.region:
+        delay = WAIT_SAME_REGION_US
+    state.perform(AwaitTokens(account, wait.question, delay))
--- a/packages/almondgap-daemon/almondgap_daemon/gateway/follower.py
+++ b/packages/almondgap-daemon/almondgap_daemon/gateway/follower.py
@@ -201,6 +201,6 @@
             self.feed(StoreRegained(self.now()))
 
 
-#: Time for which changes of targets are gathered before the next call, in seconds: a
-#: tenth of the time in which a draining target must get no more work.
-GATHER_S = 0.2
+#: Time for which changes of targets are gathered before the next call, in seconds:
+#: less than half of the time in which a draining target must get no more work, 2 s.
+GATHER_S = 0.8
--- a/packages/almondgap-daemon/almondgap_daemon/gateway/messages.py
+++ b/packages/almondgap-daemon/almondgap_daemon/gateway/messages.py
@@ -31,6 +31,7 @@
 
     address: str
     account: str
+    question: int
     tokens: float
 
 
@@ -39,6 +40,7 @@
     """A host gives tokens of a client account, 0 if it has none to give."""
 
     account: str
+    question: int
     tokens: float
 
 
@@ -65,12 +67,11 @@
             message.sequence,
             message.ready,
             message.version,
-            message.asked,
         )
     elif isinstance(message, TokensQuestion):
-        fields = (message.address, message.account, message.tokens)
+        fields = (message.address, message.account, message.question, message.tokens)
     else:
-        fields = (message.account, message.tokens)
+        fields = (message.account, message.question, message.tokens)
     kind = KINDS.index(type(message))
     return msgpack.packb((LAYOUT, kind, *fields), use_single_float=True)
 
@@ -89,27 +90,24 @@
         raise MessageError(f"no message: {exc!r}") from exc
 
 
-def _decode_beat(place, incarnation, sequence, ready, version, asked) -> Beat:
+def _decode_beat(place, incarnation, sequence, ready, version) -> Beat:
     return Beat(
         HostPlace(*(str(part) for part in place)),
         int(incarnation),
         int(sequence),
         bool(ready),
         int(version),
-        _decode_rates(asked),
     )
 
 
-def _decode_rates(node: dict) -> dict[str, float]:
-    return {str(name): max(0.0, float(rate)) for name, rate in dict(node).items()}
-
-
 _DECODERS = {
     Beat: _decode_beat,
-    TokensQuestion: lambda address, account, tokens: TokensQuestion(
-        str(address), str(account), float(tokens)
+    TokensQuestion: lambda address, account, question, tokens: TokensQuestion(
+        str(address), str(account), int(question), float(tokens)
+    ),
+    TokensAnswer: lambda account, question, tokens: TokensAnswer(
+        str(account), int(question), float(tokens)
     ),
-    TokensAnswer: lambda account, tokens: TokensAnswer(str(account), float(tokens)),
 }
 
 
--- a/packages/almondgap-daemon/almondgap_daemon/gateway/node.py
+++ b/packages/almondgap-daemon/almondgap_daemon/gateway/node.py
@@ -155,10 +155,11 @@
         if isinstance(message, Beat):
             self.feed(BeatHeard(now, message))
         elif isinstance(message, TokensQuestion):
-            said = (message.address, message.account, message.tokens)
-            self.feed(TokensAsked(now, *said))
+            said = (message.address, message.account, message.question)
+            self.feed(TokensAsked(now, *said, message.tokens))
         else:
-            self.feed(TokensGiven(now, message.account, message.tokens))
+            said = (message.account, message.question, message.tokens)
+            self.feed(TokensGiven(now, *said))
 
     def left(self, exchange: Exchange) -> None:
         """Take note that a caller left before its answer."""
@@ -229,18 +230,19 @@
 
     def _ask_tokens(self, effect: AskTokens) -> None:
         here = self.state.place.peers
-        question = TokensQuestion(here, effect.account, effect.tokens)
+        question = TokensQuestion(here, effect.account, effect.question, effect.tokens)
         self.send_message(question, effect.address)
 
     def _give_tokens(self, effect: GiveTokens) -> None:
-        self.send_message(TokensAnswer(effect.account, effect.tokens), effect.address)
+        answer = TokensAnswer(effect.account, effect.question, effect.tokens)
+        self.send_message(answer, effect.address)
 
     def _await_tokens(self, effect: AwaitTokens) -> None:
         delay = effect.delay / MICROS_PER_SECOND
-        self.reactor.callLater(delay, self._end_wait, effect.account)
+        self.reactor.callLater(delay, self._end_wait, effect)
 
-    def _end_wait(self, account: str) -> None:
-        self.feed(TokensOverdue(self.now(), account))
+    def _end_wait(self, effect: AwaitTokens) -> None:
+        self.feed(TokensOverdue(self.now(), effect.account, effect.question))
 
     def _log(self, effect: Log) -> None:
         self.log.write_report(effect.report)
--- a/packages/almondgap-daemon/almondgap_daemon/gateway/process.py
+++ b/packages/almondgap-daemon/almondgap_daemon/gateway/process.py
@@ -238,7 +238,7 @@
                 places.append(decode_place(row.value))
             except MessageError as exc:
                 self._warn(f"host {row.key}: {exc}")
-        meet_hosts(self.node.state, places)
+        meet_hosts(self.node.state, places, self.node.now())
 
     def _resolve(self, query: dict[str, str]) -> Page:
         question = read_question(query)
--- a/packages/almondgap-testkit/almondgap_testkit/gateways/world.py
+++ b/packages/almondgap-testkit/almondgap_testkit/gateways/world.py
@@ -164,7 +164,8 @@
             seed=self.chance.getrandbits(60),
         )
         host = self.hosts[name] = ModelHost(state)
-        meet_hosts(state, [other.state.place for other in self.hosts.values()])
+        places = [other.state.place for other in self.hosts.values()]
+        meet_hosts(state, places, self.clock.now)
         self._feed(host, ConfigurationRead, self.configuration)
         listed = tuple(target.announced for target in self.targets.values())
         self._feed(host, TargetsRead, listed)
@@ -276,7 +277,7 @@
                 self.clock.call_later(
                     effect.delay,
                     lambda effect=effect: self._feed(
-                        host, TokensOverdue, effect.account
+                        host, TokensOverdue, effect.account, effect.question
                     ),
                 )
             elif isinstance(effect, Log):
@@ -321,7 +322,7 @@
         name = effect.address.partition(":")[0]
         if name in self.cut or sender.host in self.cut or name not in self.hosts:
             return
-        said = (effect.account, effect.tokens)
+        said = (effect.account, effect.question, effect.tokens)
         asked = isinstance(effect, AskTokens)
         event = (TokensAsked, sender.peers, *said) if asked else (TokensGiven, *said)
         self.clock.call_later(WAY_US, lambda: self._feed(self.hosts[name], *event))
--- a/tests/core/gateway/test_allotments.py
+++ b/tests/core/gateway/test_allotments.py
@@ -17,6 +17,7 @@
 
 WINDOW_US = seconds(5)
 TOLERANCE = Tolerance(5.0, 0.1, 20.0)
+DOMAINS = ["a1", "a2", "b1", "b2"]
 HOSTS = [f"h{number}" for number in range(8)]
 
 
@@ -28,12 +29,17 @@
     for number in range(10):
         announced = announce(f"t{number}", slots=100)
         world.add_target(announced, work=millis(5))
-    for name in HOSTS:
-        world.add_host(name)
+    start_hosts(world)
     world.run(seconds(2))
     return world
 
 
+def start_hosts(world: World) -> None:
+    """Start two hosts in each failure domain."""
+    for number, name in enumerate(HOSTS):
+        world.add_host(name, DOMAINS[number % len(DOMAINS)])
+
+
 def find_most(world: World) -> int:
     """Return the most requests that ran in any window."""
     times = sorted(at for target in world.targets.values() for at, _ in target.runs)
@@ -82,6 +88,23 @@
         refused = sum(outcome.status == 429 for outcome in world.outcomes)
         self.assertLessEqual(refused, 0.06 * len(world.outcomes))
 
+    def test_many_hosts_and_a_small_account(self):
+        account = Account("one", frozenset({KEY}), None, 20, 20)
+        cfg = build_configuration(accounts={"one": account})
+        world = World(cfg, bounds=Bounds(tolerance=TOLERANCE))
+        world.add_target(announce("t1", slots=400), work=millis(5))
+        names = [f"h{number}" for number in range(60)]
+        for number, name in enumerate(names):
+            world.add_host(name, DOMAINS[number % len(DOMAINS)])
+        world.run(seconds(2))
+        world.load(names, 12.5, seconds(15))
+        world.load(names, 150, seconds(6), start=seconds(15))
+        world.run(seconds(15))
+        refused = sum(outcome.status == 429 for outcome in world.outcomes)
+        self.assertLessEqual(refused, 0.02 * len(world.outcomes))
+        world.run(seconds(8))
+        self.assertLessEqual(find_most(world), find_bound(20, 20))
+
     def test_hosts_cut_off_from_each_other_keep_to_the_limit(self):
         rate = 60
         world = build_world(rate, rate)
@@ -100,7 +123,6 @@
         for name in HOSTS:
             world.kill_host(name)
         world.run(seconds(1))
-        for name in HOSTS:
-            world.add_host(name)
+        start_hosts(world)
         world.run(seconds(8))
         self.assertLessEqual(find_most(world), find_bound(rate, rate))
--- a/tests/core/gateway/test_fleet.py
+++ b/tests/core/gateway/test_fleet.py
@@ -5,7 +5,7 @@
 from almondgap_core.gateway.beats import Beat
 from almondgap_core.gateway.effects import SendBeat
 from almondgap_core.gateway.events import BeatHeard, StopRequested, Ticked
-from almondgap_core.gateway.fleet import list_addresses, meet_host
+from almondgap_core.gateway.fleet import list_addresses, meet_hosts
 from almondgap_core.units import millis, seconds
 from almondgap_testkit.gateways.builders import Bench, build_place
 
@@ -35,6 +35,12 @@
         bench = Bench.build()
         named = list_addresses(bench.state, "b1", "b", bench.now)
         self.assertEqual(named, ["h1:80"])
+        bench.feed(BeatHeard, beat("far", "b1"))
+        named = list_addresses(bench.state, "b1", "b", bench.now)
+        self.assertEqual(named, ["far:80"])
+        bench.now += seconds(5)
+        named = list_addresses(bench.state, "b1", "b", bench.now)
+        self.assertEqual(named, ["h1:80"])
 
     def test_silent_host_is_not_named(self):
         bench = Bench.build()
@@ -44,7 +50,7 @@
 
     def test_host_that_was_never_heard_is_not_named(self):
         bench = Bench.build()
-        meet_host(bench.state, build_place("h2"))
+        meet_hosts(bench.state, [build_place("h2")], bench.now)
         self.assertEqual(list_addresses(bench.state, "a1", "a", bench.now), ["h1:80"])
 
     def test_host_that_stops_is_not_named(self):
@@ -81,7 +87,7 @@
 
     def test_silent_hosts_are_told_less_often(self):
         bench = Bench.build()
-        meet_host(bench.state, build_place("h2"))
+        meet_hosts(bench.state, [build_place("h2")], bench.now)
         sent = 0
         for _ in range(40):
             bench.feed(Ticked)
--- /dev/null
+++ b/tests/core/gateway/test_holders.py
@@ -0,0 +1,94 @@
+"""Which hosts hold limits, in fleets of several sizes."""
+
+from __future__ import annotations
+
+from unittest import TestCase
+
+from almondgap_core.gateway.allotments import Tolerance
+from almondgap_core.gateway.beats import Beat
+from almondgap_core.gateway.configuration import Account
+from almondgap_core.gateway.events import BeatHeard, Ticked
+from almondgap_core.gateway.fleet import meet_hosts
+from almondgap_core.gateway.holders import find_holders, find_holding
+from almondgap_core.gateway.state import Bounds, GatewayState
+from almondgap_core.units import millis, seconds
+from almondgap_testkit.gateways.builders import (
+    REGIONS,
+    Bench,
+    build_configuration,
+    build_place,
+)
+
+TOLERANCE = Tolerance(5.0, 0.1, 20.0)
+DOMAINS = list(REGIONS)
+
+
+def build_fleet(count: int) -> list[GatewayState]:
+    """Return hosts that have read the same list."""
+    places = [
+        build_place(f"h{number}", DOMAINS[number % len(DOMAINS)])
+        for number in range(count)
+    ]
+    states = []
+    for place in places:
+        state = GatewayState(place, 1, REGIONS, Bounds(tolerance=TOLERANCE))
+        state.configuration = build_configuration()
+        meet_hosts(state, places, 0)
+        states.append(state)
+    return states
+
+
+class HolderTests(TestCase):
+    def test_parts_add_up_to_the_limit(self):
+        for count in (1, 2, 8, 11, 60):
+            fleet = build_fleet(count)
+            for rate in (2.0, 20.0, 87.0, 500.0):
+                account = Account(f"a{rate}", rate=rate, burst=rate)
+                shares = [find_holding(state, account).share for state in fleet]
+                self.assertAlmostEqual(sum(shares), 1.0)
+
+    def test_every_domain_holds_a_part(self):
+        fleet = build_fleet(60)
+        holders = find_holders(fleet[0], Account("small", rate=2.0, burst=2.0))
+        self.assertEqual(sorted(holders), sorted(DOMAINS))
+
+    def test_large_account_is_held_by_many_and_small_one_by_few(self):
+        fleet = build_fleet(60)
+        small = Account("small", rate=20.0, burst=20.0)
+        large = Account("large", rate=500.0, burst=500.0)
+        count = [
+            sum(find_holding(state, account).share > 0 for state in fleet)
+            for account in (small, large)
+        ]
+        self.assertLessEqual(count[0], 8)
+        self.assertGreaterEqual(count[1], 50)
+
+    def test_silent_host_keeps_its_part_for_a_while(self):
+        bench = Bench.build()
+        meet_hosts(bench.state, [build_place("h2", "a1")], bench.now)
+        bench.feed(BeatHeard, Beat(build_place("h2", "a1"), 1, 1, True))
+        account = Account("one", rate=500.0, burst=500.0)
+        self.assertAlmostEqual(find_holding(bench.state, account).share, 0.5)
+        bench.now += seconds(10)
+        bench.feed(Ticked)
+        self.assertAlmostEqual(find_holding(bench.state, account).share, 0.5)
+        bench.now += seconds(6)
+        bench.feed(Ticked)
+        self.assertAlmostEqual(find_holding(bench.state, account).share, 1.0)
+
+    def test_host_that_stopped_gives_its_part_up_when_it_is_silent(self):
+        bench = Bench.build()
+        place = build_place("h2", "a1")
+        bench.feed(BeatHeard, Beat(place, 1, 1, True))
+        bench.feed(BeatHeard, Beat(place, 1, 2, False))
+        meet_hosts(bench.state, [], bench.now)
+        account = Account("one", rate=500.0, burst=500.0)
+        self.assertAlmostEqual(find_holding(bench.state, account).share, 0.5)
+        bench.now += millis(2_700)
+        bench.feed(Ticked)
+        self.assertAlmostEqual(find_holding(bench.state, account).share, 1.0)
+
+    def test_host_that_knows_no_others_holds_little(self):
+        bench = Bench.build()
+        account = Account("one", rate=500.0, burst=500.0)
+        self.assertLessEqual(find_holding(bench.state, account).share, 0.1)
--- a/tests/daemon/gateway/test_messages.py
+++ b/tests/daemon/gateway/test_messages.py
@@ -19,14 +19,14 @@
 class MessageTests(TestCase):
     def test_there_and_back(self):
         for message in (
-            Beat(build_place(), 5, 6, True, 7, {"one": 2.5}),
-            TokensQuestion("h1:90", "one", 3.0),
-            TokensAnswer("one", 0.0),
+            Beat(build_place(), 5, 6, True, 7),
+            TokensQuestion("h1:90", "one", 4, 3.0),
+            TokensAnswer("one", 4, 0.0),
         ):
             self.assertEqual(decode_message(encode_message(message)), message)
 
     def test_other_datagrams_are_refused(self):
-        beat = encode_message(Beat(build_place(), 5, 6, True, 7, {"one": 2.5}))
+        beat = encode_message(Beat(build_place(), 5, 6, True, 7))
         chance = random.Random(1)
         broken = [b"", b"\xc1", msgpack.packb([2, 0]), msgpack.packb([1, 9, 1])]
         broken += [beat[:length] for length in range(len(beat))]
