Keep time by the steady clock, and use targets whose entry is missing last

Change: the reactor's clock is the monotonic one; targets whose entry is missing after an outage are used only if a service has no other.

--- a/packages/almondgap-core/almondgap_core/gateway/placement.py
+++ b/packages/almondgap-core/almondgap_core/gateway/placement.py
@@ -65,15 +65,13 @@
     thing = call.thing if call.route.sticky else ""
     ranked = _rank_targets(state, call, thing)
     rated = _pick_rated(state, call, ranked, thing, now)
+    usable = [entry for entry in rated if is_usable(state, entry[1], now)]
+    # Targets whose announcement is missing are the last resort: after an outage of the
+    # store it may be that of all of them.
+    sure = [entry for entry in usable if entry[1].name not in state.late] or usable
     work = find_work(state, call.route).read(now)
-    best: Choice | None = None
-    for rank, target in rated:
-        if not is_usable(state, target, now):
-            continue
-        choice = _rate(state, call, target, rank, work, now)
-        if best is None or choice.cost < best.cost:
-            best = choice
-    return best
+    choices = (_rate(state, call, target, rank, work, now) for rank, target in sure)
+    return min(choices, key=lambda choice: choice.cost, default=None)
 
 
 def is_usable(state: GatewayState, target: Target, now: int) -> bool:
--- a/packages/almondgap-daemon/almondgap_daemon/gateway/process.py
+++ b/packages/almondgap-daemon/almondgap_daemon/gateway/process.py
@@ -72,6 +72,7 @@
     except ConfigurationError as exc:
         print(exc, file=sys.stderr)
         sys.exit(BAD_SETTINGS)
+    use_steady_clock(reactor)
     gateway = GatewayProcess.from_config(reactor, cfg, path)
     reactor.callWhenRunning(gateway.start)
     # What was loaded stays until the end: the collector need not look at it again.
@@ -80,6 +81,15 @@
     reactor.run(installSignalHandlers=False)
 
 
+def use_steady_clock(reactor) -> None:
+    """Let a reactor keep time by a clock that nobody sets.
+
+    Twisted's own is the time of day: when that is set, timers come late or early, and
+    buckets earn tokens for time that has not passed.
+    """
+    reactor.seconds = time.monotonic
+
+
 @define
 class GatewayProcess:
     """A gateway with its ports.
--- a/packages/almondgap-daemon/almondgap_daemon/platform/store.py
+++ b/packages/almondgap-daemon/almondgap_daemon/platform/store.py
@@ -151,6 +151,8 @@
             answer = yield waiting
         except Exception as exc:
             conn.abort()
+            # What broke this connection may have silenced the kept ones as well.
+            self._pool.close()
             raise PlatformAnswerLost(f"{target}: {exc!r}") from exc
         self._pool.release("store", conn, MOST_IDLE)
         return answer
--- a/tests/core/gateway/test_discovery.py
+++ b/tests/core/gateway/test_discovery.py
@@ -65,6 +65,19 @@
         bench.feed(Ticked)
         self.assertEqual(list(bench.state.targets), ["t2"])
 
+    def test_target_whose_entry_is_missing_is_the_last_resort(self):
+        bench = Bench.build((announce("t1"), announce("t2")))
+        bench.feed(StoreLost, "no answer")
+        bench.feed(StoreRegained)
+        bench.feed(TargetsRead, (announce("t2"),))
+        bench.call(thing="1")
+        self.assertEqual(bench.find(Send)[0].target, "t2")
+        bench.call(thing="2")
+        self.assertEqual(bench.find(Send)[0].target, "t2")
+        bench.feed(TargetsRead, ())
+        bench.call(thing="3", path="/orders/1")
+        self.assertEqual(len(bench.find(Send)), 1)
+
     def test_nothing_is_given_up_while_the_store_is_away(self):
         bench = Bench.build((announce("t1"),))
         bench.feed(StoreLost, "no answer")
