Tell the story of a request from the logs of several hosts

Cause: an id alone did not lead to the cause of a failure; its lines lay in the logs of several hosts, and what a host believed lay elsewhere in them.

Change: almondgap explain ID FILE... prints the lines about a request in order, and before them what its host had last come to believe of configuration, store, evacuation and the targets concerned. Tests measure the bytes that a gateway keeps for an open connection and for a client account.

--- /dev/null
+++ b/packages/almondgap-cli/almondgap_cli/commands/explain.py
@@ -0,0 +1,38 @@
+"""``almondgap explain``: tell the story of a request from the logs of hosts."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Annotated
+
+import cappa
+from attrs import define
+
+from almondgap_cli.stories import Story
+
+
+@cappa.command(name="explain", help="Tell the story of a request from hosts' logs.")
+@define
+class Explain:
+    """Arguments of the command."""
+
+    request: Annotated[str, cappa.Arg(help="Id of the request, as its caller sent it.")]
+    logs: Annotated[list[Path], cappa.Arg(help="Log files of hosts.", num_args=-1)]
+
+    def __call__(self) -> None:
+        """Print what all logs say of the request, in order."""
+        story = Story.from_lines(self.request, _read_files(self.logs))
+        for line in story.describe():
+            print(line)
+        if not story.lines:
+            raise cappa.Exit(code=1)
+
+
+def _read_files(paths: list[Path]) -> Iterator[str]:
+    for path in paths:
+        try:
+            with open(path, errors="replace") as log:
+                yield from log
+        except OSError as exc:
+            raise cappa.Exit(f"{path}: {exc}", code=1) from exc
--- a/packages/almondgap-cli/almondgap_cli/main.py
+++ b/packages/almondgap-cli/almondgap_cli/main.py
@@ -10,6 +10,7 @@
 from almondgap_cli.commands.check import Check
 from almondgap_cli.commands.diff import Diff
 from almondgap_cli.commands.drain import Drain
+from almondgap_cli.commands.explain import Explain
 from almondgap_cli.commands.headroom import Headroom
 from almondgap_cli.commands.histogram import Histogram
 from almondgap_cli.commands.history import History
@@ -33,6 +34,7 @@
         | Check
         | Diff
         | Drain
+        | Explain
         | Headroom
         | Histogram
         | History
--- /dev/null
+++ b/packages/almondgap-cli/almondgap_cli/stories.py
@@ -0,0 +1,114 @@
+"""The story of a request, from the logs of several hosts."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Iterable, Iterator
+from typing import Any
+
+from attrs import Factory, define, frozen
+
+#: Events that change what a host believes of everything, and so bear on any request.
+GENERAL_EVENTS = frozenset(
+    {
+        "configuration changed",
+        "evacuation changed",
+        "store changed",
+        "settings read",
+        "settings kept",
+        "stop begun",
+        "host started",
+        "lines left out",
+    }
+)
+
+#: Fields that every line has, or that the story does not repeat.
+COMMON_FIELDS = frozenset({"at", "host", "event", "request"})
+
+
+@frozen
+class LogLine:
+    """A line of a host's log.
+
+    :ivar at: seconds since 1970 on the host's clock.
+    """
+
+    at: float
+    host: str
+    event: str
+    fields: dict[str, Any]
+
+    def describe(self, since: float) -> str:
+        """Return the line as text, with the time after the first line of the story."""
+        parts = [
+            f"{name}={value}"
+            for name, value in self.fields.items()
+            if name not in COMMON_FIELDS and value not in (None, "")
+        ]
+        return f"{self.at - since:+9.3f} s  {self.host}  {self.event}: " + " ".join(
+            parts
+        )
+
+
+@define
+class Story:
+    """What several logs say of one request.
+
+    :ivar lines: lines about the request, in order.
+    :ivar background: for each host, what it had come to believe before that bears on
+        the request, in order.
+    """
+
+    request: str
+    lines: list[LogLine] = Factory(list)
+    background: list[LogLine] = Factory(list)
+
+    @classmethod
+    def from_lines(cls, request: str, texts: Iterable[str]) -> Story:
+        """Return the story of a request; lines that are no log lines are skipped."""
+        lines = sorted(read_lines(texts), key=lambda line: line.at)
+        about = [line for line in lines if line.fields.get("request") == request]
+        story = cls(request, about)
+        if about:
+            story.background = _find_background(about, lines)
+        return story
+
+    def describe(self) -> Iterator[str]:
+        """Yield the story as text."""
+        if not self.lines:
+            yield f"no line about request {self.request}"
+            return
+        since = self.lines[0].at
+        if self.background:
+            yield "What the host believed before:"
+            yield from (line.describe(since) for line in self.background)
+        yield f"Request {self.request}:"
+        yield from (line.describe(since) for line in self.lines)
+
+
+def read_lines(texts: Iterable[str]) -> Iterator[LogLine]:
+    """Yield the log lines among lines of text; a text may have something before them."""
+    for text in texts:
+        start = text.find('{"at":')
+        if start < 0:
+            continue
+        try:
+            node = json.loads(text[start:])
+            yield LogLine(float(node["at"]), node["host"], node["event"], node)
+        except (ValueError, TypeError, KeyError):
+            continue
+
+
+def _find_background(about: list[LogLine], lines: list[LogLine]) -> list[LogLine]:
+    """Return the last lines before a request on its hosts, of each kind that bears."""
+    hosts = {line.host for line in about}
+    targets = {line.fields.get("target") for line in about}
+    latest: dict[tuple, LogLine] = {}
+    for line in lines:
+        if line.at > about[-1].at or line.host not in hosts:
+            continue
+        if line.event in GENERAL_EVENTS:
+            latest[line.host, line.event] = line
+        elif line.event == "target changed" and line.fields.get("target") in targets:
+            latest[line.host, line.event, line.fields["target"]] = line
+    return sorted(latest.values(), key=lambda line: line.at)
--- /dev/null
+++ b/tests/daemon/gateway/test_memory.py
@@ -0,0 +1,65 @@
+"""Bytes that a gateway keeps for each open connection and each client account."""
+
+from __future__ import annotations
+
+import gc
+import tracemalloc
+from collections.abc import Callable
+from unittest import TestCase
+
+from twisted.internet.task import Clock
+
+from almondgap_core.gateway.admission import find_allotment
+from almondgap_core.gateway.configuration import Account
+from almondgap_daemon.http.server import ServerFactory
+from almondgap_testkit.gateways.builders import Bench, build_configuration
+from almondgap_testkit.gateways.transport import PipeTransport
+
+COUNT = 1_000
+
+#: The issue's target is a host below 60 MB; the process alone has 27 MB. 4,100
+#: descriptors and a thousand accounts are to fit into the rest.
+MOST_PER_CONNECTION = 7_000
+MOST_PER_ACCOUNT = 4_000
+
+
+def measure(build: Callable[[], object]) -> float:
+    """Return the bytes that stay allocated for each of many things."""
+    build()
+    gc.collect()
+    tracemalloc.start()
+    before = tracemalloc.get_traced_memory()[0]
+    kept = [build() for _ in range(COUNT)]
+    gc.collect()
+    after = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    assert len(kept) == COUNT
+    return (after - before) / COUNT
+
+
+class MemoryTests(TestCase):
+    def test_open_connection(self):
+        factory = ServerFactory(Clock(), None, lambda cause: None)
+
+        def connect() -> PipeTransport:
+            return PipeTransport.connect(factory.buildProtocol(None))
+
+        self.assertLessEqual(measure(connect), MOST_PER_CONNECTION)
+
+    def test_client_account(self):
+        bench = Bench.build()
+        number = 0
+
+        def ask() -> Account:
+            nonlocal number
+            number += 1
+            name = f"account-{number}"
+            keys = frozenset({f"key-{number}-1", f"key-{number}-2"})
+            account = Account(name, keys, None, 20.0, 20.0)
+            find_allotment(bench.state, account).asked.count(bench.now)
+            return account
+
+        per_account = measure(ask)
+        cfg = build_configuration(accounts={"one": ask()})
+        self.assertEqual(len(cfg.accounts), 1)
+        self.assertLessEqual(per_account, MOST_PER_ACCOUNT)
