--- a/packages/almondgap-cli/almondgap_cli/stories.py
+++ b/packages/almondgap-cli/almondgap_cli/stories.py
@@ -87,7 +87,7 @@
 
 
 def read_lines(texts: Iterable[str]) -> Iterator[LogLine]:
-    """Yield the log lines among lines of text; a text may have something before them."""
+    """Yield the log lines among texts, which may have something before them."""
     for text in texts:
         start = text.find('{"at":')
         if start < 0:
--- a/packages/almondgap-core/almondgap_core/gateway/overload.py
+++ b/packages/almondgap-core/almondgap_core/gateway/overload.py
@@ -19,6 +19,9 @@
 #: by priority; the last holds for all that are less urgent.
 GOAL_PARTS = (1.0, 0.95, 0.9)
 
+#: Part of the response-time goal for which a request may wait that is late anyway.
+LATE_QUEUE_PART = 0.25
+
 #: Part of the time of a request that an expected answer may take in any case.
 TIME_PART = 0.95
 
@@ -36,6 +39,10 @@
     part = GOAL_PARTS[min(priority, len(GOAL_PARTS) - 1)]
     waits = choice.queued > 0
     late = waits and choice.expected > goal * part
+    if late and choice.expected - choice.queued > goal * part:
+        # It is late by its work alone, and so warms the object for those after it;
+        # what it may not do is make a long queue longer.
+        late = choice.queued > goal * LATE_QUEUE_PART
     hopeless = choice.expected > left * TIME_PART
     if not late and not hopeless:
         return None
--- a/packages/almondgap-daemon/almondgap_daemon/headers.py
+++ b/packages/almondgap-daemon/almondgap_daemon/headers.py
@@ -4,6 +4,8 @@
 
 from twisted.web.http_headers import Headers
 
+from almondgap_daemon.http.answer import HOP_BY_HOP
+
 KEY_HEADER = "Almondgap-Key"
 OPERATION_HEADER = "Idempotency-Key"
 REQUEST_HEADER = "Almondgap-Request"
@@ -14,21 +16,6 @@
 #: Stands for an operation key that is empty.
 NO_KEY = "-"
 
-#: Headers that belong to one connection, as RFC 9110 section 7.6.1 lists them.
-HOP_BY_HOP = frozenset(
-    {
-        b"connection",
-        b"keep-alive",
-        b"proxy-authenticate",
-        b"proxy-authorization",
-        b"proxy-connection",
-        b"te",
-        b"trailer",
-        b"transfer-encoding",
-        b"upgrade",
-    }
-)
-
 
 def copy_request_headers(headers: Headers) -> Headers:
     """Return the headers of a caller's request that a target may see."""
--- a/packages/almondgap-daemon/almondgap_daemon/http/connection.py
+++ b/packages/almondgap-daemon/almondgap_daemon/http/connection.py
@@ -39,8 +39,6 @@
 #: Answers of earlier requests that are skipped before the connection is given up.
 MOST_SKIPPED = 2
 
-CHUNK_HEADERS = (b"transfer-encoding",)
-
 
 @frozen
 class Request:
--- a/tests/core/gateway/test_overload.py
+++ b/tests/core/gateway/test_overload.py
@@ -12,8 +12,15 @@
 
 from almondgap_core.gateway import calls
 from almondgap_core.gateway.configuration import Account
+from almondgap_core.gateway.overload import judge
+from almondgap_core.gateway.placement import Choice
 from almondgap_core.units import millis, seconds
-from almondgap_testkit.gateways.builders import KEY, announce, build_configuration
+from almondgap_testkit.gateways.builders import (
+    KEY,
+    Bench,
+    announce,
+    build_configuration,
+)
 from almondgap_testkit.gateways.world import World
 
 HOSTS = ["h1", "h2", "h3", "h4"]
@@ -70,3 +77,24 @@
         world = run_load(0.4 * CAPACITY)
         refused = sum(outcome.status != 200 for outcome in world.outcomes)
         self.assertLessEqual(refused, 0.02 * len(world.outcomes))
+
+
+class LateWorkTests(TestCase):
+    def judge(self, expected: int, queued: int):
+        bench = Bench.build((announce("t1"),))
+        bench.call()
+        call = bench.state.calls[1]
+        call.sends.clear()
+        target = bench.state.targets["t1"]
+        choice = Choice(target, expected, expected, queued)
+        return judge(bench.state, call, choice, bench.now)
+
+    def test_work_that_is_late_by_itself_is_sent_while_the_queue_is_short(self):
+        self.assertIsNone(self.judge(millis(600), 0))
+        self.assertIsNone(self.judge(millis(600), millis(50)))
+
+    def test_it_does_not_make_a_long_queue_longer(self):
+        self.assertIsNotNone(self.judge(millis(800), millis(200)))
+
+    def test_waiting_that_makes_a_request_late_is_refused(self):
+        self.assertIsNotNone(self.judge(millis(450), millis(150)))
