Move refusals into a module of their own; wait for what a test states

Change: refusals.py; the test waits for the store's return and for the entry to be given up, and then wants five answers in a row from the target that is left.

--- a/packages/almondgap-core/almondgap_core/gateway/calls.py
+++ b/packages/almondgap-core/almondgap_core/gateway/calls.py
@@ -8,7 +8,7 @@
     take_token,
 )
 from almondgap_core.gateway.attempts import note_failure, note_silence, send_call
-from almondgap_core.gateway.effects import Abandon, Cancel, Deliver, Expire, Refuse
+from almondgap_core.gateway.effects import Abandon, Cancel, Deliver, Expire
 from almondgap_core.gateway.events import (
     AttemptFailed,
     CallArrived,
@@ -25,11 +25,11 @@
 from almondgap_core.gateway.health import note_answer, note_misdirected
 from almondgap_core.gateway.overload import judge
 from almondgap_core.gateway.placement import choose_target
+from almondgap_core.gateway.refusals import finish, refuse_arrival, refuse_call
 from almondgap_core.gateway.reports import (
     AttemptLost,
     CallerGone,
     RequestAnswered,
-    RequestRefused,
     RequestRetried,
     RetryDenied,
 )
@@ -41,16 +41,12 @@
     handle_tokens_asked,
     receive_tokens,
 )
-from almondgap_core.units import MICROS_PER_MILLI, millis
+from almondgap_core.units import MICROS_PER_MILLI
 from almondgap_core.verdict import Reason, Refusal, Verdict
 
 #: Answers that say that a request did not run. A target may say so only with proof.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
-#: When a caller may come back after a failure that may be over soon; as much again is
-#: added at random.
-RETRY_AFTER_US = millis(250)
-
 #: Connections that fail before a request is given up; such a request was never sent.
 MOST_CONNECTS = 3
 
@@ -62,7 +58,7 @@
     """Admit and place a request, or refuse it at once."""
     checked = check_call(state, event)
     if isinstance(checked, Refusal):
-        _refuse_arrival(state, event, checked)
+        refuse_arrival(state, event, checked)
         return
     call = checked
     state.calls[call.number] = call
@@ -168,51 +164,6 @@
     refuse_call(state, call, event.now, 504, Reason.DEADLINE_PASSED, detail)
 
 
-def refuse_call(
-    state: GatewayState,
-    call: Call,
-    now: int,
-    status: int,
-    reason: Reason,
-    detail: str,
-    retry_after: int | None = None,
-) -> None:
-    """Answer in place of a target; the verdict follows from the attempts made."""
-    verdict = Verdict.MAY_HAVE_RUN if call.may_have_run else Verdict.NOT_RUN
-    if verdict is Verdict.NOT_RUN and status == 504:
-        status = 503
-    elif verdict is Verdict.MAY_HAVE_RUN and status == 503:
-        status = 502
-    if status == 503 and retry_after is None:
-        retry_after = RETRY_AFTER_US + state.draw(RETRY_AFTER_US)
-    refusal = Refusal(status, reason, verdict, detail, retry_after)
-    finish(state, call, now, refusal)
-
-
-def finish(state: GatewayState, call: Call, now: int, refusal: Refusal) -> None:
-    """End a request with an answer of this host."""
-    del state.calls[call.number]
-    state.perform(Refuse(call.number, refusal))
-    wait = refusal.retry_after
-    state.report(
-        RequestRefused(
-            call.request_id,
-            call.route.name,
-            call.account_name,
-            call.service,
-            call.route.idempotent,
-            refusal.status,
-            refusal.reason.value,
-            refusal.verdict.value,
-            refusal.detail,
-            None if wait is None else wait // MICROS_PER_MILLI,
-            (now - call.arrived) // MICROS_PER_MILLI,
-            len(call.sends) + call.connects,
-            state.version,
-        )
-    )
-
-
 def _begin(state: GatewayState, call: Call, now: int) -> None:
     _earn_retries(state, call)
     place_call(state, call, now)
@@ -231,28 +182,6 @@
             finish(state, call, now, refusal)
 
 
-def _refuse_arrival(state: GatewayState, event: CallArrived, refusal: Refusal) -> None:
-    state.perform(Refuse(event.call, refusal))
-    wait = refusal.retry_after
-    state.report(
-        RequestRefused(
-            event.request_id,
-            "",
-            "",
-            "",
-            False,
-            refusal.status,
-            refusal.reason.value,
-            refusal.verdict.value,
-            refusal.detail,
-            None if wait is None else wait // MICROS_PER_MILLI,
-            0,
-            0,
-            state.version,
-        )
-    )
-
-
 def _deliver(state: GatewayState, call: Call, event: TargetAnswered) -> None:
     del state.calls[call.number]
     state.perform(Deliver(call.number))
--- a/tests/daemon/gateway/test_site.py
+++ b/tests/daemon/gateway/test_site.py
@@ -142,13 +142,26 @@
         site.write({"table": "servers", "key": "shop-0", "value": None})
         site.post(f"http://{site.store}/control/forget", None)
         site.post(faults, {})
-        site.wait_until(lambda: site.call("h1").body.startswith(b"shop-1"), 5.0)
-        states = [
+        site.wait_until(
+            lambda: self.list_states(site, "store changed") == ["lost", "regained"]
+        )
+        # The entry that went is believed to be gone once it had time to come back.
+        site.wait_until(
+            lambda: "gone" in self.list_states(site, "target changed", "shop-0"), 5.0
+        )
+        for number in range(5):
+            reply = site.call("h1", request_id=f"after-{number}")
+            self.assertTrue(reply.body.startswith(b"shop-1"))
+        states = self.list_states(site, "store changed")
+        self.assertEqual(states, ["lost", "regained"])
+
+    def list_states(self, site: Site, event: str, target: str = "") -> list[str]:
+        """Return the states that a host reported, of one target if it is named."""
+        return [
             line["state"]
             for line in site.read_log("h1")
-            if line["event"] == "store changed"
+            if line["event"] == event and line.get("target", "") == target
         ]
-        self.assertEqual(states, ["lost", "regained"])
 
     def test_silent_store_is_noticed(self):
         site = self.start()
