Ask the store without waiting before each long wait; linger at the end of a stop

Change: a long wait begins only right after an answer, else a call that does not wait goes first; calls time out after 1.5 s in place of 2.5. The linger has no test of its own; the store's silence has.

--- a/packages/almondgap-daemon/almondgap_daemon/gateway/follower.py
+++ b/packages/almondgap-daemon/almondgap_daemon/gateway/follower.py
@@ -28,7 +28,7 @@
     decode_announcement,
     decode_configuration,
 )
-from almondgap_daemon.platform.store import HistoryLost, RowsRead, StoreClient
+from almondgap_daemon.platform.store import WAIT_S, HistoryLost, RowsRead, StoreClient
 
 #: Pause after a failed call, in seconds: the first, and the longest. The longest keeps
 #: a host within a second of the store's return, with few calls meanwhile.
@@ -45,6 +45,9 @@
 class TableFollower:
     """Follows one table: reads it whole, then waits for changes.
 
+    A call that is made while the store is silent is never answered. So a long wait
+    begins only right after an answer: otherwise a call that does not wait goes first.
+
     :ivar take_all: takes all rows of the table.
     :ivar take_changes: takes rows that changed.
     :ivar on_state: told of each call whether the store answered, and why not.
@@ -60,6 +63,7 @@
     gather_s: float = 0.0
     version: int | None = None
     running: bool = True
+    _answered: bool = False
     _pause: float = 0.0
     _current: Deferred | None = None
 
@@ -85,6 +89,7 @@
             except PlatformError as exc:
                 if not self.running:
                     return
+                self._answered = False
                 self.on_state(self.table, str(exc))
                 self._pause = min(max(FIRST_PAUSE_S, self._pause * 2), LONGEST_PAUSE_S)
                 yield deferLater(self.reactor, self._pause * (1 - JITTER * self.draw()))
@@ -98,13 +103,16 @@
             read: RowsRead = yield self.store.read_rows(self.table)
             self.take_all(read.rows)
         else:
-            read = yield self.store.wait_for_changes(self.table, self.version)
+            wait_s = WAIT_S if self._answered else 0.0
+            read = yield self.store.wait_for_changes(self.table, self.version, wait_s)
             if read.rows:
                 self.take_changes(read.rows)
+        waited, self._answered = self._answered, True
         self.version = read.version
-        if self.gather_s:
+        if self.gather_s and waited and read.rows:
             # Changes often come several together: one call brings them all.
             yield deferLater(self.reactor, self.gather_s)
+            self._answered = False
 
 
 @define
--- a/packages/almondgap-daemon/almondgap_daemon/gateway/node.py
+++ b/packages/almondgap-daemon/almondgap_daemon/gateway/node.py
@@ -89,6 +89,7 @@
     _open: dict[int, OpenCall] = field(factory=dict)
     _number: int = 0
     _ticks: int = 0
+    _ended_at: float = 0.0
     _perform: dict[type[GatewayEffect], Callable] = field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -114,6 +115,11 @@
         """Number of requests without an answer."""
         return len(self._open)
 
+    @property
+    def quiet_s(self) -> float:
+        """Time since the last request ended, in seconds."""
+        return self.reactor.seconds() - self._ended_at
+
     def now(self) -> int:
         """Return the time on the steady clock, in microseconds."""
         return round(self.reactor.seconds() * MICROS_PER_SECOND)
@@ -225,6 +231,7 @@
 
     def _close(self, opened: OpenCall) -> None:
         self._open.pop(opened.exchange.number, None)
+        self._ended_at = self.reactor.seconds()
         if opened.timer is not None and opened.timer.active():
             opened.timer.cancel()
 
--- a/packages/almondgap-daemon/almondgap_daemon/gateway/process.py
+++ b/packages/almondgap-daemon/almondgap_daemon/gateway/process.py
@@ -51,6 +51,10 @@
 #: grace: callers keep what the directory said for some seconds.
 LEAVE_PART = 0.58
 
+#: Time after the last answer at which the process ends, in seconds: a lost packet is
+#: sent once more after a fifth of a second, and again after two fifths.
+LINGER_S = 0.8
+
 #: Time before the end of the grace at which the process ends in any case, in seconds.
 END_MARGIN_S = 0.4
 
@@ -94,7 +98,8 @@
 class GatewayProcess:
     """A gateway with its ports.
 
-    :ivar stop_at: when the planned stop is to end, None while none was asked for.
+    :ivar callers_port: port that callers connect to, None once it is closed.
+    :ivar stopping_since: when the planned stop began, None while none was asked for.
     """
 
     reactor: object
@@ -106,6 +111,7 @@
     follower: StoreFollower = field(init=False)
     messages: MessageSocket = field(init=False)
     callers: ServerFactory = field(init=False)
+    callers_port: object = None
     stopping_since: float | None = None
     _read_at: float = 0.0
 
@@ -142,7 +148,7 @@
         directory = Pages({RESOLVE_PATH: self._resolve})
         readiness = Pages({READY_PATH: self._tell_ready})
         metrics = Pages({METRICS_PATH: self._render_metrics})
-        self._listen(place.callers, self.callers)
+        self.callers_port = self._listen(place.callers, self.callers)
         self._listen(self.cfg.readiness, self._make_pages(readiness))
         self._listen(self.cfg.directory, self._make_pages(directory))
         host, _, port = place.peers.rpartition(":")
@@ -211,10 +217,19 @@
         elapsed = self.reactor.seconds() - self.stopping_since
         if elapsed < self.cfg.grace * LEAVE_PART:
             return
+        self._close_port()
         self.callers.close_idle()
-        if not self.node.running or elapsed >= self.cfg.grace - END_MARGIN_S:
+        # What was written last may have to be sent once more by the system.
+        quiet = not self.node.running and self.node.quiet_s >= LINGER_S
+        if quiet or elapsed >= self.cfg.grace - END_MARGIN_S:
             self._end()
 
+    def _close_port(self) -> None:
+        """Take no more connections; callers that still come go to another host."""
+        port, self.callers_port = self.callers_port, None
+        if port is not None:
+            port.stopListening()
+
     def _end(self) -> None:
         self.log.write("host stopped", cut=self.node.running)
         self.log.tick()
@@ -276,9 +291,9 @@
         gauges["configuration_version"] = self.node.state.version
         return Page(200, self.node.metrics.render(), "text/plain; version=0.0.4")
 
-    def _listen(self, address: str, factory: ServerFactory) -> None:
+    def _listen(self, address: str, factory: ServerFactory):
         host, _, port = address.rpartition(":")
-        self.reactor.listenTCP(int(port), factory, BACKLOG, host)
+        return self.reactor.listenTCP(int(port), factory, BACKLOG, host)
 
     def _make_pages(self, pages: Pages) -> ServerFactory:
         return ServerFactory(self.reactor, pages, self._warn)
--- a/packages/almondgap-daemon/almondgap_daemon/platform/store.py
+++ b/packages/almondgap-daemon/almondgap_daemon/platform/store.py
@@ -21,9 +21,10 @@
 from almondgap_daemon.http.pool import ConnectionPool
 from almondgap_daemon.platform.records import StoreRow, decode_row
 
-#: Longest wait for an answer, in seconds: an answer takes milliseconds, and up to a
-#: second when the store is slow.
-CALL_TIMEOUT_S = 2.5
+#: Longest wait for an answer, in seconds: an answer takes milliseconds, and a quarter
+#: of a second when the store is slow; a host must know within three seconds what
+#: changed while the store was away.
+CALL_TIMEOUT_S = 1.5
 
 #: Time for which a call that waits for changes is held, in seconds. A connection that
 #: falls silent is noticed by its keep-alive probes, so that it need not be short.
@@ -86,14 +87,15 @@
             query["from"] = rows[-1].key + "\0"
 
     @inlineCallbacks
-    def wait_for_changes(self, table: str, after: int):
+    def wait_for_changes(self, table: str, after: int, wait_s: float = WAIT_S):
         """Return the rows changed after a version as soon as there are any.
 
+        :param wait_s: longest time to wait for some, in seconds.
         :raises HistoryLost: the store no longer has these changes.
         :raises PlatformError: the store gave no answer.
         """
-        query = {"table": table, "after": after, "wait_ms": round(WAIT_S * 1000)}
-        node = yield self._get("/rows-feed", query, WAIT_S)
+        query = {"table": table, "after": after, "wait_ms": round(wait_s * 1000)}
+        node = yield self._get("/rows-feed", query, wait_s)
         return RowsRead(tuple(_decode_rows(node)), _decode_version(node))
 
     @inlineCallbacks
--- a/tests/daemon/gateway/test_site.py
+++ b/tests/daemon/gateway/test_site.py
@@ -165,9 +165,25 @@
 
     def test_silent_store_is_noticed(self):
         site = self.start()
-        site.post(f"http://{site.store}/control/faults", {"silent": True})
+        faults = f"http://{site.store}/control/faults"
+        site.post(faults, {"silent": True})
         site.write({"table": "op", "key": "evacuate/b2", "value": {}})
         self.assertEqual(site.call("h1").status, 200)
+        # Calls that were made meanwhile are never answered.
+        site.post(faults, {})
+        site.write({"table": "op", "key": "evacuate/a1", "value": {}})
+        site.wait_until(lambda: site.call("h1").status == 503, 25.0)
+
+    def test_call_made_while_the_store_is_silent_is_soon_made_again(self):
+        site = self.start()
+        faults = f"http://{site.store}/control/faults"
+        site.post(faults, {"down": True})
+        site.write({"table": "op", "key": "unknown", "value": {}})
+        site.post(faults, {"silent": True})
+        time.sleep(1.0)
+        site.post(faults, {})
+        site.write({"table": "op", "key": "evacuate/a1", "value": {}})
+        site.wait_until(lambda: site.call("h1").status == 503, 3.0)
 
     def test_few_calls_while_nothing_changes(self):
         site = self.start()
@@ -221,6 +237,9 @@
         for thread in threads:
             thread.join()
         self.assertEqual([reply.status for reply in replies], [200] * 4)
+        time.sleep(1.5)
+        with self.assertRaises(ConnectionRefusedError):
+            site.call("h1", request_id="too late")
         self.assertEqual(process.wait(5), 0)
         self.assertEqual(site.read_log("h1")[-1]["cut"], 0)
         state = json.loads(site.get(f"http://{site.store}/control/state").body)
