Believe no odd question for tokens, and no success that says it did not run

Cause: found by reading the change once more. A datagram that asks for a negative number of tokens made tokens at its receiver, and one that asks for no number raised an error in the loop. A success with the mark of a refusal counted as proof that the request did not run, so that an order could be sent again. A reload compared the settings with themselves and always logged that nothing had changed.

Ruled out: both statuses of a promise (408, 421, 429, 503) already needed the proof.

Change: a question for less than one token gets none; the mark counts on failures only; the reload compares with what was in force. Three tests failed first.

Measured: the tests of calls, holders, limits, retries, settings and links pass.

--- a/packages/almondgap-core/almondgap_core/gateway/allotments.py
+++ b/packages/almondgap-core/almondgap_core/gateway/allotments.py
@@ -96,6 +96,9 @@
 
     def give(self, wanted: float) -> float:
         """Return the whole tokens that this host gives away, as far as there are."""
+        if not wanted >= 1.0:
+            # Whatever is no number of tokens, as another program may send it.
+            return 0.0
         given = float(int(min(wanted, self.level)))
         self.level -= given
         return given
--- a/packages/almondgap-core/almondgap_core/gateway/calls.py
+++ b/packages/almondgap-core/almondgap_core/gateway/calls.py
@@ -47,6 +47,9 @@
 #: Answers that say that a request did not run. A target may say so only with proof.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
+#: Least status of a refusal: a success that says that it did not run proves nothing.
+FIRST_FAILURE_STATUS = 400
+
 #: Connections that fail before a request is given up; such a request was never sent.
 MOST_CONNECTS = 3
 
@@ -109,10 +112,10 @@
     if event.misdirected:
         note_misdirected(state, call, now)
         _retry_or_refuse(state, call, now, "another target has the address")
-    elif event.not_executed:
+    elif event.not_executed and event.status >= FIRST_FAILURE_STATUS:
         _report_lost(state, call, event.attempt, "not executed", Verdict.NOT_RUN, now)
         _retry_or_refuse(state, call, now, f"target refused with {event.status}")
-    elif event.sealed and _is_plain(event.status):
+    elif event.sealed and not event.not_executed and _is_plain(event.status):
         _deliver(state, call, event)
     else:
         _handle_bad_answer(state, call, event)
--- a/packages/almondgap-daemon/almondgap_daemon/gateway/follower.py
+++ b/packages/almondgap-daemon/almondgap_daemon/gateway/follower.py
@@ -35,6 +35,10 @@
 FIRST_PAUSE_S = 0.1
 LONGEST_PAUSE_S = 0.7
 
+#: Time for which changes of targets are gathered before the next call, in seconds:
+#: less than half of the time in which a draining target must get no more work, 2 s.
+GATHER_S = 0.8
+
 #: Part of a pause that is drawn at random, so that hosts do not come back together.
 JITTER = 0.4
 
@@ -207,8 +211,3 @@
             self.feed(StoreLost(self.now(), error or "no answer"))
         elif after and not before:
             self.feed(StoreRegained(self.now()))
-
-
-#: Time for which changes of targets are gathered before the next call, in seconds:
-#: less than half of the time in which a draining target must get no more work, 2 s.
-GATHER_S = 0.8
--- a/packages/almondgap-daemon/almondgap_daemon/gateway/process.py
+++ b/packages/almondgap-daemon/almondgap_daemon/gateway/process.py
@@ -193,6 +193,7 @@
         ):
             cause = "addresses and place change with a restart only"
             self.log.write("settings kept in part", cause=cause)
+        before = self.cfg
         self.cfg = evolve(
             cfg,
             place=self.cfg.place,
@@ -203,7 +204,7 @@
         self.node.state.bounds = cfg.bounds
         self.node.state.regions = cfg.regions
         self.log.lines_per_s = cfg.lines_per_s
-        self.log.write("settings read", changed=cfg != self.cfg)
+        self.log.write("settings read", changed=self.cfg != before)
 
     def _watch(self) -> None:
         """Look after the settings file, callers' limits and the planned stop."""
--- a/tests/core/gateway/test_calls.py
+++ b/tests/core/gateway/test_calls.py
@@ -68,6 +68,14 @@
             self.assertEqual(bench.find(Deliver), [], status)
             self.assertEqual(bench.find(Refuse)[0].refusal.status, 502)
 
+    def test_success_that_says_it_did_not_run_is_no_proof(self):
+        bench, send = begin(ORDERS)
+        answer(bench, send, 200, not_executed=True, sealed=False)
+        self.assertEqual(bench.find(Send), [])
+        refusal = bench.find(Refuse)[0].refusal
+        self.assertEqual(refusal.status, 502)
+        self.assertIs(refusal.verdict, Verdict.MAY_HAVE_RUN)
+
     def test_late_answer_of_an_earlier_attempt_is_ignored(self):
         bench, send = begin(READS)
         fail(bench, send, Failure.BROKEN_OFF, Verdict.MAY_HAVE_RUN)
--- a/tests/core/gateway/test_holders.py
+++ b/tests/core/gateway/test_holders.py
@@ -4,7 +4,7 @@
 
 from unittest import TestCase
 
-from almondgap_core.gateway.allotments import Tolerance
+from almondgap_core.gateway.allotments import Allotment, Tolerance
 from almondgap_core.gateway.beats import Beat
 from almondgap_core.gateway.configuration import Account
 from almondgap_core.gateway.events import BeatHeard, Ticked
@@ -92,3 +92,16 @@
         bench = Bench.build()
         account = Account("one", rate=500.0, burst=500.0)
         self.assertLessEqual(find_holding(bench.state, account).share, 0.1)
+
+
+class GivingTests(TestCase):
+    def test_odd_questions_make_no_tokens(self):
+        for wanted in (-100.0, float("-inf"), float("nan"), 0.0):
+            allotment = Allotment(0, level=5.0)
+            self.assertEqual(allotment.give(wanted), 0.0)
+            self.assertEqual(allotment.level, 5.0)
+
+    def test_no_more_is_given_than_there_is(self):
+        allotment = Allotment(0, level=2.5)
+        self.assertEqual(allotment.give(8.0), 2.0)
+        self.assertEqual(allotment.level, 0.5)
--- a/tests/daemon/gateway/test_site.py
+++ b/tests/daemon/gateway/test_site.py
@@ -254,6 +254,7 @@
         site = self.start()
         site.write_settings("h1", log_lines_per_s=5)
         site.wait_until(lambda: self.find(site, "settings read"), 3.0)
+        self.assertTrue(self.find(site, "settings read")[0]["changed"])
 
     def test_wrong_file_is_ignored_and_said_so(self):
         site = self.start()
