Leave an object's target only when fetching elsewhere is faster; keep objects at home

Two reasons: a target that fetched an object (three times the work) was taken to be slow, so its next objects went elsewhere and were fetched there too; and the second target was rated 1.25 times the first as if it kept the object. Change: the next targets of an object count as not keeping it (2.0, 2.5, 3.0) unless this host sent it there lately; the pace of a target is judged by the time of a warm object, and fetching explains slowness where the host does not know the object is warm; queues are reckoned in warm work; objects prefer the region of their callers four times.

--- a/packages/almondgap-core/almondgap_core/gateway/attempts.py
+++ b/packages/almondgap-core/almondgap_core/gateway/attempts.py
@@ -28,7 +28,8 @@
     call.attempt = len(call.sends) + call.connects + 1
     call.sends.append(target.name)
     call.sent_at = now
-    call.expected = choice.expected
+    call.expected_warm = choice.expected_warm
+    call.known_warm = target.is_warm(call.thing, now)
     load = target.compute_load(now)
     target.running += 1
     if call.thing:
@@ -80,7 +81,7 @@
     target = state.targets.get(call.target)
     if target is None:
         return
-    target.pace.add(max(1.0, (now - call.sent_at) / max(1, call.expected)), now)
+    target.pace.add(max(1.0, (now - call.sent_at) / max(1, call.expected_warm)), now)
     target.silent += 1
     if target.silent >= MOST_SILENT:
         note_down(state, target, now, f"{target.silent} requests without an answer")
--- a/packages/almondgap-core/almondgap_core/gateway/health.py
+++ b/packages/almondgap-core/almondgap_core/gateway/health.py
@@ -64,7 +64,7 @@
     if failed:
         return
     took = now - call.sent_at
-    ratio = took / max(1, call.expected)
+    ratio = discount_fetch(call, took / max(1, call.expected_warm))
     target.pace.add(_clip(ratio) * target.pace.read(now), now)
     waiting = event.load[1] if event.load is not None else 0
     if waiting <= MOST_WAITING:
@@ -123,6 +123,20 @@
     _report(state, target, "up", "answered a probe")
 
 
+def discount_fetch(call: Call, ratio: float) -> float:
+    """Return how slow a target was, without the time that it fetched an object.
+
+    Answers the load of objects that many targets see for the first time: a target that
+    has to fetch them is no slower than others, and leaving it for another one would
+    have the objects fetched there as well.
+
+    :param ratio: time that the target took, in relation to a warm object.
+    """
+    if call.route.sticky and not call.known_warm and ratio > BETWEEN:
+        return max(1.0, ratio / UNWARMED)
+    return ratio
+
+
 def _learn_work(state: GatewayState, call: Call, took: int, now: int) -> None:
     """Learn what a warm request takes; one that was not warm tells it as well."""
     work = find_work(state, call.route)
--- a/packages/almondgap-core/almondgap_core/gateway/placement.py
+++ b/packages/almondgap-core/almondgap_core/gateway/placement.py
@@ -3,7 +3,10 @@
 Answers the load of a few much asked objects on targets that serve fastest what they
 served lately, while targets slow down, fail or fill up: each target is rated by the
 time in which it would answer, from the work (little if the object is warm there), its
-own pace, the requests it is thought to have, its failures and its distance.
+own pace, the requests it is thought to have, its failures and its distance. A target
+that has to fetch the object first takes three times as long, so a target is left for
+another one only when it is slower than that, and objects stay in the region of their
+callers as far as its targets bear it.
 """
 
 from __future__ import annotations
@@ -11,7 +14,7 @@
 from attrs import frozen
 
 from almondgap_core.gateway.cold import is_cold, may_warm
-from almondgap_core.gateway.ranking import compute_rank
+from almondgap_core.gateway.ranking import compute_score
 from almondgap_core.gateway.state import Call, GatewayState
 from almondgap_core.gateway.target import LEAST_PACE, MOST_PACE, Average, Target
 from almondgap_core.units import millis
@@ -19,9 +22,19 @@
 #: Work on an object that is not warm, in relation to one that is.
 UNWARMED = 3.0
 
-#: Work in relation to a warm object by the rank of the target. The first two of an
-#: object get it often enough to keep it; those after them now and then.
-WORK_BY_RANK = (1.0, 1.25, 1.6, 2.2)
+#: Work in relation to a warm object by the rank of the target, when this host did not
+#: send it there lately. The first one of an object keeps it; those after it have it
+#: only if another host sent it there when the first one was busy.
+WORK_BY_RANK = (1.0, 2.0, 2.5, 3.0)
+
+#: Work in relation to the first target at one after it that got the object from this
+#: host lately: it is as warm there, but an object is better kept in one place.
+KEPT_ELSEWHERE = 1.05
+
+#: Preference of targets in the caller's region. Four times keeps some 60 percent of the
+#: objects at home where a region has a third of the targets, and leaves regions of
+#: unequal size loaded alike within a quarter.
+HOME_WEIGHT = 4.0
 
 #: Part of the response-time goal that a warm request is taken to need before any has
 #: been measured.
@@ -52,12 +65,14 @@
     :ivar cost: rating of the target, less is better; microseconds.
     :ivar expected: time in which an answer is expected, in microseconds.
     :ivar queued: part of that time in which the request waits.
+    :ivar expected_warm: the same if the target keeps the object warm.
     """
 
     target: Target
     cost: float
     expected: int
     queued: int
+    expected_warm: int
 
 
 def choose_target(state: GatewayState, call: Call, now: int) -> Choice | None:
@@ -121,13 +136,19 @@
     ]
     if thing:
         name = f"{call.route.name}\0{thing}"
-        targets.sort(key=lambda target: -compute_rank(name, target.name))
+        targets.sort(key=lambda target: -_compute_score(state, name, target))
     if len(state.ranks) >= MOST_RANKS:
         state.ranks.clear()
     state.ranks[key] = (state.epoch, targets)
     return targets
 
 
+def _compute_score(state: GatewayState, name: str, target: Target) -> float:
+    region = state.find_region(target.announced.failure_domain)
+    weight = HOME_WEIGHT if region == state.place.region else 1.0
+    return compute_score(name, target.name, weight)
+
+
 def _pick_rated(
     state: GatewayState, call: Call, ranked: list[Target], thing: str, now: int
 ) -> list[tuple[int, Target]]:
@@ -148,19 +169,29 @@
     state: GatewayState, call: Call, target: Target, rank: int, work: float, now: int
 ) -> Choice:
     announced = target.announced
-    if call.thing and call.route.sticky:
-        if rank < len(WORK_BY_RANK):
-            work *= WORK_BY_RANK[rank]
-        elif not target.is_warm(call.thing, now):
-            work *= UNWARMED
-    work *= min(max(target.pace.read(now), LEAST_PACE), MOST_PACE)
+    warm = work * min(max(target.pace.read(now), LEAST_PACE), MOST_PACE)
     slots = max(1, announced.slots)
     waiting = max(0.0, target.compute_load(now) + 1 - slots)
-    queued = work * waiting / slots
+    queued = warm * waiting / slots
     failing = target.failing.read(now) * FAILURE_COST * call.route.goal
-    distance = _find_distance(state, announced.failure_domain)
-    expected = work + queued + distance
-    return Choice(target, expected + failing, round(expected), round(queued))
+    spent = queued + _find_distance(state, announced.failure_domain)
+    expected = warm * _find_factor(call, target, rank, now) + spent
+    return Choice(
+        target,
+        expected + failing,
+        round(expected),
+        round(queued),
+        round(warm + spent),
+    )
+
+
+def _find_factor(call: Call, target: Target, rank: int, now: int) -> float:
+    """Return the work at a target in relation to one that keeps the object warm."""
+    if rank == 0 or not (call.thing and call.route.sticky):
+        return 1.0
+    if target.is_warm(call.thing, now):
+        return KEPT_ELSEWHERE
+    return WORK_BY_RANK[rank] if rank < len(WORK_BY_RANK) else UNWARMED
 
 
 def _find_distance(state: GatewayState, failure_domain: str) -> int:
--- a/packages/almondgap-core/almondgap_core/gateway/state.py
+++ b/packages/almondgap-core/almondgap_core/gateway/state.py
@@ -46,7 +46,9 @@
     :ivar attempt: number of the attempt that runs now, 0 if none does.
     :ivar may_have_run: whether an attempt may have run at a target.
     :ivar sent_at: when the attempt that runs now was sent.
-    :ivar expected: time in which its answer was expected, in microseconds.
+    :ivar expected_warm: time in which its answer was expected if the target keeps the
+        object warm, in microseconds.
+    :ivar known_warm: whether this host sent the object to that target lately.
     """
 
     number: int
@@ -63,7 +65,8 @@
     attempt: int = 0
     may_have_run: bool = False
     sent_at: int = 0
-    expected: int = 0
+    expected_warm: int = 0
+    known_warm: bool = False
 
     @property
     def account_name(self) -> str:
--- a/packages/almondgap-testkit/almondgap_testkit/gateways/builders.py
+++ b/packages/almondgap-testkit/almondgap_testkit/gateways/builders.py
@@ -101,10 +101,11 @@
         cls,
         targets: tuple[Announcement, ...] = (),
         configuration: Configuration | None = None,
+        place: HostPlace | None = None,
         **changes: Any,
     ) -> Bench:
         """Return a gateway that knows a configuration and targets."""
-        state = GatewayState(build_place(), 1, REGIONS, **changes)
+        state = GatewayState(place or build_place(), 1, REGIONS, **changes)
         bench = cls(state)
         bench.feed(ConfigurationRead, configuration or build_configuration())
         bench.feed(TargetsRead, targets)
