Soak real programs under drawn faults

Change: a soak starts the store's and the targets' stand-ins and three hosts as processes on loopback, with a link before each target and before each host's store that delays, resets, refuses, or drops one way; draws 22 kinds of faults from a seed, several overlapping (freeze, kill, planned stop, cuts, misbehaving targets and store, evacuation, withdrawn targets and keys, a lowered limit); callers keep using open connections; and judges from what callers and targets saw: at most once, true 'not run', whole answers of the right request, an answer in time, keys, drained and evacuated targets, limits, recovery, no process ending by itself.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PACKAGES := core daemon cli testkit
 STAMP := $(VENV)/.installed
 
-.PHONY: demo test lint format bench scenarios soak capacity
+.PHONY: demo test lint format bench scenarios soak fault-soak capacity
 
 $(STAMP): requirements.txt $(wildcard packages/*/pyproject.toml)
 	python3 -m venv $(VENV)
@@ -37,5 +37,12 @@
 	$(BIN)/python -m almondgap_testkit.scenarios scenarios/trust/random.scenario \
 		--seeds $(SEEDS)
 
+SEED ?= 1
+COUNT ?= 50
+KEEP ?= soak-failures
+fault-soak: $(STAMP)
+	$(BIN)/python -m almondgap_testkit.soak --seed $(SEED) --count $(COUNT) \
+		--keep $(KEEP)
+
 capacity: $(STAMP)
 	$(BIN)/python -m almondgap_testkit.capacity
--- a/packages/almondgap-testkit/almondgap_testkit/gateways/site.py
+++ b/packages/almondgap-testkit/almondgap_testkit/gateways/site.py
@@ -87,8 +87,19 @@
     processes: dict[str, subprocess.Popen] = Factory(dict)
 
     @classmethod
-    def start(cls, workers: int = 2, work_s: float = 0.02) -> Site:
-        """Start store and targets, and write the configuration."""
+    def start(
+        cls,
+        workers: int = 2,
+        work_s: float = 0.02,
+        failure_domains: str = "a1",
+        announced_port: int = WORKERS_PORT,
+    ) -> Site:
+        """Start store and targets, and write the configuration.
+
+        :param failure_domains: those of the targets in turn, with commas.
+        :param announced_port: port that the first target announces, if others are to
+            reach it by a link.
+        """
         net, guard = _reserve_net()
         site = cls(net, guard, Path(tempfile.mkdtemp(prefix="almondgap-site-")))
         site._run("store", "almondgap_testkit.standins.store", "--port", STORE_PORT)
@@ -97,7 +108,8 @@
             "workers",
             "almondgap_testkit.standins.workers",
             *("--port", WORKERS_PORT, "--count", workers, "--store", site.store),
-            *("--work", work_s),
+            *("--work", work_s, "--failure-domains", failure_domains),
+            *("--announced-port", announced_port),
         )
         for number in range(workers):
             site.wait_for_port("workers", f"{net}.0.1:{WORKERS_PORT + number}")
@@ -115,6 +127,11 @@
 
     def start_host(self, host: str, failure_domain: str = "a1", **changes) -> None:
         """Start a gateway and wait until it is ready."""
+        self.launch_host(host, failure_domain, **changes)
+        self.wait_until(lambda: self.is_ready(host))
+
+    def launch_host(self, host: str, failure_domain: str = "a1", **changes) -> None:
+        """Start a gateway without waiting for it."""
         self.write_settings(host, failure_domain, **changes)
         environ = {**os.environ, SETTINGS_VARIABLE: str(self.folder / f"{host}.json")}
         with open(self.folder / f"{host}.log", "ab") as log:
@@ -124,7 +141,6 @@
                 stdout=log,
                 stderr=subprocess.STDOUT,
             )
-        self.wait_until(lambda: self.is_ready(host))
 
     def write_settings(self, host: str, failure_domain: str = "a1", **changes) -> None:
         """Write the settings file of a host."""
--- /dev/null
+++ b/packages/almondgap-testkit/almondgap_testkit/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Real programs under drawn faults, judged by what callers and targets see."""
--- /dev/null
+++ b/packages/almondgap-testkit/almondgap_testkit/soak/stage.py
@@ -0,0 +1,253 @@
+"""The programs of a soak, and the faults done to them."""
+
+from __future__ import annotations
+
+import copy
+import json
+import signal
+import threading
+import time
+from typing import Any
+
+from attrs import Factory, define
+from twisted.internet.interfaces import IReactorTCP
+
+from almondgap_testkit.gateways.builders import KEY
+from almondgap_testkit.gateways.site import (
+    CONFIGURATION,
+    STORE_PORT,
+    WORKERS_PORT,
+    Site,
+)
+from almondgap_testkit.soak.links import Link
+from almondgap_testkit.soak.plan import Fault
+
+TARGET_LINK_PORT, STORE_LINK_PORT = 7_300, 7_400
+DOMAINS = ("a1", "a2", "b1")
+
+#: Keys of the account that is always served, of the one whose key is withdrawn, and of
+#: the one with a small limit.
+SURE_KEY, FICKLE_KEY, SMALL_KEY = KEY, "key-of-two", "key-of-three"
+
+#: Requests per second of the small account, and when its limit is lowered.
+SMALL_RATE, LOWERED_RATE, SMALL_BURST = 10, 5, 10
+
+#: Delay of a slow link or store, in seconds.
+DELAY_S = 0.4
+
+#: Time between two resets of a link's connections, in seconds.
+RESET_PAUSE_S = 0.5
+
+#: Time within which a host must end after it was asked to, in seconds: the grace that
+#: its settings give, and time to see it.
+STOP_S = 4.0
+
+
+@define
+class Stage:
+    """Store, targets, links and hosts.
+
+    :ivar done: faults as they were done, with the times of beginning and end.
+    :ivar breaches: what was seen to be wrong while faults were done.
+    """
+
+    reactor: IReactorTCP
+    site: Site
+    targets: list[Link]
+    stores: list[Link]
+    start: float = 0.0
+    done: list[Fault] = Factory(list)
+    breaches: list[str] = Factory(list)
+    configuration: dict[str, Any] = Factory(lambda: copy.deepcopy(CONFIGURATION))
+    _lock: threading.Lock = Factory(threading.Lock)
+    _version: int = 1
+
+    @classmethod
+    def build(cls, reactor: IReactorTCP, hosts: int, targets: int) -> Stage:
+        """Start everything, and wait until it is ready; not in the loop's thread."""
+        site = Site.start(
+            workers=targets,
+            work_s=0.05,
+            failure_domains=",".join(DOMAINS),
+            announced_port=TARGET_LINK_PORT,
+        )
+        near = f"{site.net}.0.1"
+
+        def lead(port: int, server: int) -> Link:
+            link = Link(reactor, (near, port), (near, server))
+            reactor.callFromThread(link.open)
+            return link
+
+        target_links = [
+            lead(TARGET_LINK_PORT + number, WORKERS_PORT + number)
+            for number in range(targets)
+        ]
+        store_links = [
+            lead(STORE_LINK_PORT + number, STORE_PORT) for number in range(hosts)
+        ]
+        stage = cls(reactor, site, target_links, store_links)
+        accounts = stage.configuration["tenants"]
+        accounts["two"] = {"api_keys": [FICKLE_KEY], "rate_per_s": 500, "burst": 500}
+        small = {"rate_per_s": SMALL_RATE, "burst": SMALL_BURST}
+        accounts["three"] = {"api_keys": [SMALL_KEY], **small}
+        stage.write_configuration()
+        for number in range(hosts):
+            stage.launch(number)
+        for number in range(hosts):
+            site.wait_until(lambda number=number: site.is_ready(f"h{number + 1}"))
+        return stage
+
+    def launch(self, host: int) -> None:
+        """Start a host without waiting for it."""
+        store = f"{self.site.net}.0.1:{STORE_LINK_PORT + host}"
+        domain = DOMAINS[host % len(DOMAINS)]
+        self.site.launch_host(f"h{host + 1}", domain, store=store)
+
+    def write_configuration(self) -> None:
+        """Write the configuration as an operator, with the next version."""
+        with self._lock:
+            self._version += 1
+            self.configuration["version"] = f"{self._version:08d}"
+            row = {"table": "op", "key": "config", "value": self.configuration}
+            self.site.write(row)
+
+    def commit(self, fault: Fault) -> None:
+        """Do a fault from its beginning to its end."""
+        time.sleep(max(0.0, self.start + fault.at - time.monotonic()))
+        began = time.monotonic() - self.start
+        act = getattr(self, "_" + fault.kind.replace(" ", "_"))
+        act(fault.place, fault.length)
+        ended = time.monotonic() - self.start
+        self.done.append(Fault(began, ended - began, fault.kind, fault.place))
+
+    def read_runs(self) -> dict[str, list[tuple[float, int]]]:
+        """Return when and at which target each request ran; times from the start."""
+        runs: dict[str, list[tuple[float, int]]] = {}
+        for number in range(len(self.targets)):
+            for at, request_id in self.site.list_runs(number)["log"]:
+                runs.setdefault(request_id, []).append((at - self.start, number))
+        return runs
+
+    def find_domain(self, target: int) -> str:
+        """Return the failure domain of a target."""
+        return DOMAINS[target % len(DOMAINS)]
+
+    def _freeze(self, host: int, length: float) -> None:
+        process = self.site.processes[f"h{host + 1}"]
+        process.send_signal(signal.SIGSTOP)
+        time.sleep(length)
+        process.send_signal(signal.SIGCONT)
+
+    def _kill(self, host: int, length: float) -> None:
+        process = self.site.processes.pop(f"h{host + 1}")
+        process.kill()
+        process.wait()
+        time.sleep(length)
+        self.launch(host)
+
+    def _stop(self, host: int, length: float) -> None:
+        process = self.site.processes.pop(f"h{host + 1}")
+        process.terminate()
+        began = time.monotonic()
+        try:
+            code = process.wait(STOP_S)
+        except Exception as exc:
+            self.breaches.append(f"h{host + 1} asked to stop: {exc}")
+            process.kill()
+            code = process.wait()
+        if code:
+            self.breaches.append(f"h{host + 1} asked to stop: ended with {code}")
+        time.sleep(max(0.0, length - (time.monotonic() - began)))
+        self.launch(host)
+
+    def _cut_from_store(self, host: int, length: float) -> None:
+        faults = {"drops_requests": True, "drops_answers": True, "refuses": True}
+        self._change(self.stores[host], length, **faults)
+
+    def _store_answers_lost(self, host: int, length: float) -> None:
+        self._change(self.stores[host], length, drops_answers=True)
+
+    def _delay(self, target: int, length: float) -> None:
+        self._change(self.targets[target], length, delay_s=DELAY_S)
+
+    def _silence(self, target: int, length: float) -> None:
+        self._change(self.targets[target], length, drops_requests=True)
+
+    def _answers_lost(self, target: int, length: float) -> None:
+        self._change(self.targets[target], length, drops_answers=True)
+
+    def _refuse(self, target: int, length: float) -> None:
+        self._change(self.targets[target], length, refuses=True)
+
+    def _reset(self, target: int, length: float) -> None:
+        end = time.monotonic() + length
+        while time.monotonic() < end:
+            self.reactor.callFromThread(self.targets[target].reset)
+            time.sleep(RESET_PAUSE_S)
+
+    def _change(self, link: Link, length: float, **faults) -> None:
+        self.reactor.callFromThread(link.change, **faults)
+        time.sleep(length)
+        self.reactor.callFromThread(link.heal)
+
+    def _shedding(self, target: int, length: float) -> None:
+        self._misbehave(target, length, "shedding")
+
+    def _failing(self, target: int, length: float) -> None:
+        self._misbehave(target, length, "failing")
+
+    def _cutting(self, target: int, length: float) -> None:
+        self._misbehave(target, length, "cutting")
+
+    def _unsealed(self, target: int, length: float) -> None:
+        self._misbehave(target, length, "unsealed")
+
+    def _misbehave(self, target: int, length: float, mode: str) -> None:
+        self.site.set_mode(target, mode)
+        time.sleep(length)
+        self.site.set_mode(target, "well")
+
+    def _store_down(self, _: int, length: float) -> None:
+        self._disturb_store(length, down=True)
+
+    def _store_silent(self, _: int, length: float) -> None:
+        self._disturb_store(length, silent=True)
+
+    def _store_slow(self, _: int, length: float) -> None:
+        self._disturb_store(length, delay_ms=int(DELAY_S * 1000))
+
+    def _store_forgets(self, _: int, length: float) -> None:
+        self.site.post(f"http://{self.site.store}/control/forget", None)
+
+    def _disturb_store(self, length: float, **faults) -> None:
+        url = f"http://{self.site.store}/control/faults"
+        self.site.post(url, faults)
+        time.sleep(length)
+        self.site.post(url, {})
+
+    def _evacuate(self, target: int, length: float) -> None:
+        key = f"evacuate/{self.find_domain(target)}"
+        self.site.write({"table": "op", "key": key, "value": {}})
+        time.sleep(length)
+        self.site.write({"table": "op", "key": key, "value": None})
+
+    def _withdraw_target(self, target: int, length: float) -> None:
+        row = self.site.list_runs(target)["row"]
+        self.site.write({**row, "value": None})
+        time.sleep(length)
+        self.site.write(json.loads(json.dumps(row)))
+
+    def _withdraw_key(self, _: int, length: float) -> None:
+        self._configure(length, "two", "api_keys", ["another"])
+
+    def _lower_rate(self, _: int, length: float) -> None:
+        self._configure(length, "three", "rate_per_s", LOWERED_RATE)
+
+    def _configure(self, length: float, account: str, field: str, value) -> None:
+        fields = self.configuration["tenants"][account]
+        before = fields[field]
+        fields[field] = value
+        self.write_configuration()
+        time.sleep(length)
+        fields[field] = before
+        self.write_configuration()
--- a/packages/almondgap-testkit/almondgap_testkit/standins/workers.py
+++ b/packages/almondgap-testkit/almondgap_testkit/standins/workers.py
@@ -31,6 +31,7 @@
     :ivar mode: ``well``, ``failing``, ``shedding``, ``cutting`` (ends the connection
         after it ran the request) or ``unsealed``.
     :ivar runs: how often each request ran, by its id.
+    :ivar log: when each ran, by a clock that all processes share, in seconds.
     :ivar seen: headers of the newest request.
     """
 
@@ -44,6 +45,7 @@
     born: int = field(factory=lambda: time.time_ns() // 1_000_000)
     running: int = 0
     runs: dict[str, int] = Factory(dict)
+    log: list[tuple[float, str]] = Factory(list)
     seen: dict[str, str] = Factory(dict)
     app: Klein = field(init=False)
 
@@ -83,8 +85,9 @@
         return b""
 
     def tell_runs(self, request):
-        """Return what ran, and the headers of the newest request."""
-        return answer_json(request, {"runs": self.runs, "seen": self.seen})
+        """Return what ran, the headers of the newest request, and the own row."""
+        told = {"runs": self.runs, "log": self.log, "seen": self.seen}
+        return answer_json(request, {**told, "row": self.announce()})
 
     async def serve(self, request, path: str):
         """Run a request."""
@@ -99,6 +102,7 @@
             request.setHeader("X-Almondgap-Not-Executed", "1")
             return b""
         self.runs[request_id] = self.runs.get(request_id, 0) + 1
+        self.log.append((time.monotonic(), request_id))
         self.seen = {
             name.decode().lower(): values[0].decode()
             for name, values in request.requestHeaders.getAllRawHeaders()
@@ -128,6 +132,7 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--address", default="127.0.0.1")
     parser.add_argument("--port", type=int, required=True, help="port of the first")
+    parser.add_argument("--announced-port", type=int, help="of the first, if another")
     parser.add_argument("--count", type=int, default=2)
     parser.add_argument("--service", default="shop")
     parser.add_argument("--failure-domains", default="a1", help="in turn")
@@ -138,10 +143,11 @@
     rows = []
     for number in range(args.count):
         port = args.port + number
+        announced = (args.announced_port or args.port) + number
         worker = Worker(
             f"{args.service}-{number}",
             args.service,
-            f"{args.address}:{port}",
+            f"{args.address}:{announced}",
             domains[number % len(domains)],
             work_s=args.work,
         )
