--- a/packages/almondgap-testkit/almondgap_testkit/soak/__main__.py
+++ b/packages/almondgap-testkit/almondgap_testkit/soak/__main__.py
@@ -8,6 +8,7 @@
 import sys
 import threading
 import time
+from collections import Counter
 from pathlib import Path
 
 from twisted.internet import reactor
@@ -83,6 +84,8 @@
         thread.join()
     attempts = [attempt for caller, _ in callers for attempt in caller.attempts]
     judge = Judge(attempts, stage.read_runs(), stage.done, calm)
+    counts = Counter(attempt.status or attempt.failure for attempt in attempts)
+    print(f"seed {seed}: {len(plan)} faults, answers {dict(counts)}", flush=True)
     breaches = stage.breaches + judge.list_breaches() + _judge_processes(stage)
     if breaches and keep is not None:
         _keep(stage, seed, keep, judge, breaches)
--- a/packages/almondgap-testkit/almondgap_testkit/soak/plan.py
+++ b/packages/almondgap-testkit/almondgap_testkit/soak/plan.py
@@ -22,12 +22,11 @@
     "unsealed",
 )
 
-#: Faults of the store, and what operators do.
-OTHER_FAULTS = (
-    "store down",
-    "store silent",
-    "store slow",
-    "store forgets",
+#: Faults of the store.
+STORE_FAULTS = ("store down", "store silent", "store slow", "store forgets")
+
+#: What operators do.
+ACTS = (
     "evacuate",
     "withdraw target",
     "withdraw key",
@@ -38,8 +37,12 @@
 #: which hosts have to notice.
 LEAST_LENGTH_S, MOST_LENGTH_S = 0.3, 6.0
 
-#: Faults begin this long after one another on average, so that two or three overlap.
-PAUSE_S = 1.2
+#: Length of what operators do, in seconds: beyond the bound of 5 s and some more, in
+#: which nothing may go against it.
+LEAST_ACT_S, MOST_ACT_S = 6.0, 9.0
+
+#: Faults begin this long after one another on average, so that several overlap.
+PAUSE_S = 0.6
 
 
 @frozen
@@ -68,16 +71,20 @@
 def draw_plan(
     seed: int, duration: float, hosts: int, targets: int
 ) -> tuple[Fault, ...]:
-    """Return faults within some seconds; at most one at a time in each host."""
+    """Return faults that begin within some seconds; one at a time at each place."""
     chance = random.Random(seed)
     faults: list[Fault] = []
     at = chance.expovariate(1 / PAUSE_S)
     while at < duration:
-        kinds = chance.choice((HOST_FAULTS, TARGET_FAULTS, TARGET_FAULTS, OTHER_FAULTS))
+        kinds = chance.choice(
+            (HOST_FAULTS, TARGET_FAULTS, TARGET_FAULTS, STORE_FAULTS, ACTS)
+        )
         kind = chance.choice(kinds)
         count = hosts if kinds is HOST_FAULTS else targets
-        length = chance.uniform(LEAST_LENGTH_S, MOST_LENGTH_S)
-        fault = Fault(at, min(length, duration - at), kind, chance.randrange(count))
+        acts = (LEAST_ACT_S, MOST_ACT_S)
+        bounds = acts if kinds is ACTS else (LEAST_LENGTH_S, MOST_LENGTH_S)
+        length = chance.uniform(*bounds)
+        fault = Fault(at, length, kind, chance.randrange(count))
         if not any(_meet(fault, other) for other in faults):
             faults.append(fault)
         at += chance.expovariate(1 / PAUSE_S)
