Excuse an answer that a target's fault kept from a host that stops

Change: only while the host stops and a fault held at the very target where it ran. The judge's tests show that a fault of another target excuses nothing.

--- a/packages/almondgap-testkit/almondgap_testkit/soak/judging.py
+++ b/packages/almondgap-testkit/almondgap_testkit/soak/judging.py
@@ -8,7 +8,7 @@
 from attrs import define
 
 from almondgap_testkit.soak.callers import Attempt
-from almondgap_testkit.soak.plan import HOST_FAULTS, Fault
+from almondgap_testkit.soak.plan import HOST_FAULTS, TARGET_FAULTS, Fault
 from almondgap_testkit.soak.stage import (
     DOMAINS,
     FICKLE_KEY,
@@ -92,6 +92,8 @@
         during = (attempt.host, attempt.began, attempt.ended)
         if self._find(("freeze", "kill"), *during, 1.0):
             return
+        if ran and self._was_held_up(attempt):
+            return
         if ran:
             yield f"{told}: {attempt.failure} after it ran"
         elif attempt.failure in ("TimeoutError", "timeout"):
@@ -99,6 +101,17 @@
         elif attempt.fresh and not self._find(("kill", "stop"), *during, START_S):
             yield f"{told}: {attempt.failure} on a new connection"
 
+    def _was_held_up(self, attempt: Attempt) -> bool:
+        """Return whether a target's fault kept a host that stops from its answer.
+
+        The process ends with its grace, whether a target answers or not.
+        """
+        during = (attempt.began, attempt.ended)
+        if not self._find(("stop",), attempt.host, *during, 0.0):
+            return False
+        runs = self.runs[attempt.request_id]
+        return any(self._find(TARGET_FAULTS, place, *during, 0.0) for _, place in runs)
+
     def _may_use(self, attempt: Attempt) -> bool:
         if attempt.key != FICKLE_KEY:
             return True
--- a/tests/testkit/test_soak.py
+++ b/tests/testkit/test_soak.py
@@ -80,6 +80,12 @@
         self.assertIn("after it ran", judge([attempt], faults=[other])[0])
         stopped = Fault(50.0, 1.0, "stop", 0)
         self.assertIn("after it ran", judge([attempt], faults=[stopped])[0])
+        elsewhere = Fault(49.0, 3.0, "answers lost", 2)
+        found = judge([attempt, served], faults=[stopped, elsewhere], calm=55.0)
+        self.assertIn("after it ran", found[0])
+        there = Fault(49.0, 3.0, "answers lost", 1)
+        found = judge([attempt, served], faults=[stopped, there], calm=55.0)
+        self.assertEqual(found, [])
 
     def test_silence(self):
         attempt = build_attempt(status=0, failure="TimeoutError", ended=54.0)
