End a site's processes when its start fails

Cause: a soak that could not start, and one ended by force, left stand-ins and hosts on 127.21; the next ones could not listen there, and some of theirs stayed too (traced by their logs). Ports that cannot be listened at are now followed by the end of all that was started.

--- a/packages/almondgap-testkit/almondgap_testkit/gateways/site.py
+++ b/packages/almondgap-testkit/almondgap_testkit/gateways/site.py
@@ -102,19 +102,28 @@
         """
         net, guard = _reserve_net()
         site = cls(net, guard, Path(tempfile.mkdtemp(prefix="almondgap-site-")))
-        site._run("store", "almondgap_testkit.standins.store", "--port", STORE_PORT)
-        site.wait_for_port("store", site.store)
-        site._run(
+        try:
+            site._start(workers, work_s, failure_domains, announced_port)
+        except BaseException:
+            site.close()
+            raise
+        return site
+
+    def _start(
+        self, workers: int, work_s: float, failure_domains: str, announced_port: int
+    ) -> None:
+        self._run("store", "almondgap_testkit.standins.store", "--port", STORE_PORT)
+        self.wait_for_port("store", self.store)
+        self._run(
             "workers",
             "almondgap_testkit.standins.workers",
-            *("--port", WORKERS_PORT, "--count", workers, "--store", site.store),
+            *("--port", WORKERS_PORT, "--count", workers, "--store", self.store),
             *("--work", work_s, "--failure-domains", failure_domains),
             *("--announced-port", announced_port),
         )
         for number in range(workers):
-            site.wait_for_port("workers", f"{net}.0.1:{WORKERS_PORT + number}")
-        site.write({"table": "op", "key": "config", "value": CONFIGURATION})
-        return site
+            self.wait_for_port("workers", f"{self.net}.0.1:{WORKERS_PORT + number}")
+        self.write({"table": "op", "key": "config", "value": CONFIGURATION})
 
     @property
     def store(self) -> str:
--- a/packages/almondgap-testkit/almondgap_testkit/soak/stage.py
+++ b/packages/almondgap-testkit/almondgap_testkit/soak/stage.py
@@ -71,6 +71,16 @@
             failure_domains=",".join(DOMAINS),
             announced_port=TARGET_LINK_PORT,
         )
+        try:
+            return cls._build(reactor, site, hosts, targets)
+        except BaseException:
+            site.close()
+            raise
+
+    @classmethod
+    def _build(
+        cls, reactor: IReactorTCP, site: Site, hosts: int, targets: int
+    ) -> Stage:
         near = f"{site.net}.0.1"
 
         def lead(port: int, server: int) -> Link:
