Print why a soak could not start

Traced by starting two soaks at once: a frozen host of a soak that had been ended by force kept 127.21.1.1:8000, so the host of the next soak on that net could not listen. Not a fault of the run's code; the frozen process was ended by its id.

--- a/packages/almondgap-testkit/almondgap_testkit/soak/__main__.py
+++ b/packages/almondgap-testkit/almondgap_testkit/soak/__main__.py
@@ -49,8 +49,12 @@
             if breaches:
                 broken.append(seed)
 
+    def tell(failure) -> None:
+        broken.append(-1)
+        failure.printTraceback(sys.stderr)
+
     running = deferToThread(run_all)
-    running.addErrback(lambda failure: broken.append(-1) or failure.printTraceback())
+    running.addErrback(tell)
     running.addBoth(lambda _: reactor.stop())
     reactor.run(installSignalHandlers=True)
     sys.exit(1 if broken else 0)
