Let hosts tell each other what they have read of the store

Cause: a call that waits for changes when the store falls silent is never answered, and its host noticed after 21.5 s.

Change: hosts of a region tell each other each second the newest row version read of each table; who hears of a newer one for 0.3 s reads it at once on a new connection. One host of the fleet, found by hashing, waits for 2 s only and so notices a silence; when the store answers it again it tells all, who renew their calls. Other hosts wait for 28 s in place of 20 s, which pays for it. A claim that the store does not confirm is refuted and its host ignored for 1 s, doubling to 60 s. A row that cannot be handled no longer ends the watch, numbers beyond any range (Infinity) in a row are malformed rather than an unexpected error, and rows of another table than asked for are a late copy of an earlier answer. The watch ended for good on such rows before.

Tests first: the four orders of silence, change and return failed on the former rule for up to 28 s. On the way: a call that was cancelled to be renewed went on as a second loop, since the client turns a cancellation into a lost answer; a run has a number now.

`request refused` names the target, `host changed` the other host as `peer`.

--- a/packages/almondgap-cli/almondgap_cli/stories.py
+++ b/packages/almondgap-cli/almondgap_cli/stories.py
@@ -18,6 +18,7 @@
         "configuration changed",
         "evacuation changed",
         "store changed",
+        "table behind",
         "settings read",
         "settings kept",
         "stop begun",
--- a/packages/almondgap-core/almondgap_core/gateway/discovery.py
+++ b/packages/almondgap-core/almondgap_core/gateway/discovery.py
@@ -23,6 +23,7 @@
     TargetChanged,
 )
 from almondgap_core.gateway.state import GatewayState
+from almondgap_core.gateway.store_views import record_outage_end
 from almondgap_core.gateway.target import Announcement, Target
 from almondgap_core.units import millis
 
@@ -145,6 +146,7 @@
     state.store_regained = event.now
     for name in state.missing_targets:
         state.missing_targets[name] = event.now + state.bounds.reannounce_time
+    record_outage_end(state, event.now)
     state.report(StoreChanged("regained", f"was unavailable for {outage // 1000} ms"))
 
 
--- a/packages/almondgap-core/almondgap_core/gateway/effects.py
+++ b/packages/almondgap-core/almondgap_core/gateway/effects.py
@@ -4,7 +4,8 @@
 
 from attrs import frozen
 
-from almondgap_core.gateway.heartbeats import Heartbeat
+from almondgap_core.gateway.events import StoreTable
+from almondgap_core.gateway.heartbeats import Heartbeat, StoreView
 from almondgap_core.gateway.reports import Report
 from almondgap_core.verdict import Refusal
 
@@ -104,6 +105,24 @@
     addresses: tuple[str, ...]
 
 
+@frozen
+class SendStoreView(GatewayEffect):
+    """Tell other hosts what this one has read of the store.
+
+    :ivar addresses: peer addresses of these hosts.
+    """
+
+    view: StoreView
+    addresses: tuple[str, ...]
+
+
+@frozen
+class ReadTable(GatewayEffect):
+    """Read the changes of a table at once, in place of a call that waits for them."""
+
+    table: StoreTable
+
+
 @frozen
 class RequestTokens(GatewayEffect):
     """Request tokens of a client account from another host.
--- a/packages/almondgap-core/almondgap_core/gateway/events.py
+++ b/packages/almondgap-core/almondgap_core/gateway/events.py
@@ -7,7 +7,7 @@
 from attrs import frozen
 
 from almondgap_core.gateway.configuration import Configuration
-from almondgap_core.gateway.heartbeats import Heartbeat
+from almondgap_core.gateway.heartbeats import Heartbeat, StoreView
 from almondgap_core.gateway.target import Announcement
 from almondgap_core.verdict import Verdict
 
@@ -162,6 +162,35 @@
     """The store answers again."""
 
 
+class StoreTable(Enum):
+    """A table of the store that hosts follow; hosts list them in this order."""
+
+    OPERATORS = "operators"
+    TARGETS = "targets"
+
+
+@frozen
+class TableRead(GatewayEvent):
+    """Rows of a table were read, or the store said that none changed.
+
+    :ivar read_up_to: store version up to which the table is known.
+    :ivar newest_row: newest version among the rows read, 0 without rows.
+    :ivar waited: whether the call waited for a change.
+    """
+
+    table: StoreTable
+    read_up_to: int
+    newest_row: int
+    waited: bool
+
+
+@frozen
+class StoreViewReceived(GatewayEvent):
+    """Another host told what it has read of the store."""
+
+    view: StoreView
+
+
 @frozen
 class HeartbeatReceived(GatewayEvent):
     """A heartbeat of another host arrived."""
--- a/packages/almondgap-core/almondgap_core/gateway/heartbeats.py
+++ b/packages/almondgap-core/almondgap_core/gateway/heartbeats.py
@@ -1,4 +1,4 @@
-"""The heartbeat that hosts exchange, and a decaying event rate."""
+"""What hosts tell each other about themselves, and a decaying event rate."""
 
 from __future__ import annotations
 
@@ -38,6 +38,21 @@
     version: int = 0
 
 
+@frozen
+class StoreView:
+    """What a host has read of the store.
+
+    :ivar versions: newest row version read of each table, in the order of
+        ``StoreTable``.
+    :ivar outages: number of outages of the store that the host has seen end.
+    """
+
+    host: str
+    incarnation: int
+    versions: tuple[int, ...]
+    outages: int
+
+
 @define
 class DecayingRate:
     """An event rate as an exponentially decaying average.
--- a/packages/almondgap-core/almondgap_core/gateway/reducer.py
+++ b/packages/almondgap-core/almondgap_core/gateway/reducer.py
@@ -5,13 +5,20 @@
 
 from __future__ import annotations
 
-from almondgap_core.gateway import calls, discovery, fleet, health, rollout
+from almondgap_core.gateway import (
+    calls,
+    discovery,
+    fleet,
+    health,
+    rollout,
+    store_views,
+)
 from almondgap_core.gateway.effects import GatewayEffect
 from almondgap_core.gateway.events import GatewayEvent
 from almondgap_core.gateway.state import GatewayState
 
 #: Modules that handle events, in the order in which they receive the same event.
-EVENT_MODULES = (rollout, discovery, fleet, health, calls)
+EVENT_MODULES = (rollout, discovery, fleet, store_views, health, calls)
 
 
 def _collect_handlers() -> dict[type[GatewayEvent], tuple]:
--- a/packages/almondgap-core/almondgap_core/gateway/reports.py
+++ b/packages/almondgap-core/almondgap_core/gateway/reports.py
@@ -61,6 +61,7 @@
 class RequestRefused(Report):
     """This host answered on behalf of a target.
 
+    :ivar target: target of the last attempt, empty if there was none.
     :ivar verdict: whether the request may have run.
     :ivar cause: what led to the refusal, for people.
     :ivar retry_after_ms: retry delay that the caller was given, None if none.
@@ -70,6 +71,7 @@
     route: str
     account: str
     service: str
+    target: str
     idempotent: bool
     status: int
     reason: str
@@ -171,7 +173,7 @@
     :ivar silent_ms: time since the peer's previous heartbeat.
     """
 
-    host: str
+    peer: str
     state: str
     silent_ms: int
 
@@ -184,6 +186,30 @@
     cause: str
 
 
+@frozen
+class TableBehind(Report):
+    """Another host has read newer rows of a table, so it is read again.
+
+    :ivar version: newest row version that this host has read.
+    :ivar claimed: version that the other host has read.
+    :ivar behind_ms: time since this host first heard of a newer version.
+    """
+
+    table: str
+    version: int
+    claimed: int
+    behind_ms: int
+
+
+@frozen
+class ClaimRefuted(Report):
+    """The store does not have the row version that a peer claims to have read."""
+
+    peer: str
+    table: str
+    claimed: int
+
+
 @frozen
 class StopBegun(Report):
     """A planned stop began.
--- a/packages/almondgap-core/almondgap_core/gateway/state.py
+++ b/packages/almondgap-core/almondgap_core/gateway/state.py
@@ -16,6 +16,7 @@
 from almondgap_core.gateway.heartbeats import Heartbeat, HostLocation
 from almondgap_core.gateway.reports import Report
 from almondgap_core.gateway.retry_budget import RetryBudget
+from almondgap_core.gateway.store_knowledge import StoreKnowledge
 from almondgap_core.gateway.target import DecayingAverage, Target
 from almondgap_core.gateway.token_bucket import TokenBucket, Tolerance
 from almondgap_core.units import seconds
@@ -127,6 +128,7 @@
         which they are dropped.
     :ivar store_lost: when the store stopped answering, None while it answers.
     :ivar store_regained: when the store last came back, None if it was never lost.
+    :ivar store_knowledge: what this host and its peers have read of the store.
     :ivar hosts_listed: whether the list of hosts was read from the store.
     :ivar membership_epoch: changes whenever the set of member hosts does.
     :ivar holders_cache: hosts that hold the limit of an account, with the epoch for
@@ -153,6 +155,7 @@
     missing_targets: dict[str, int] = Factory(dict)
     store_lost: int | None = None
     store_regained: int | None = None
+    store_knowledge: StoreKnowledge = Factory(StoreKnowledge)
     peers: dict[str, Peer] = Factory(dict)
     hosts_listed: bool = False
     membership_epoch: int = 0
--- /dev/null
+++ b/packages/almondgap-core/almondgap_core/gateway/store_knowledge.py
@@ -0,0 +1,52 @@
+"""What a host has read of the store, and what its peers claim to have read."""
+
+from __future__ import annotations
+
+from attrs import Factory, define
+
+from almondgap_core.gateway.events import StoreTable
+from almondgap_core.gateway.heartbeats import StoreView
+
+
+@define
+class Claimant:
+    """A peer that tells what it has read of the store; times in microseconds.
+
+    :ivar refuted: the last version claimed of each table that the store did not have.
+    :ivar misses: number of claims refuted in a row.
+    :ivar ignored_until: when its claims count again.
+    """
+
+    view: StoreView
+    refuted: dict[StoreTable, int] = Factory(dict)
+    misses: int = 0
+    ignored_until: int = 0
+
+
+@define
+class StoreKnowledge:
+    """What this host has read of the store, and what peers claim to have read.
+
+    :ivar read_up_to: store version up to which this host knows a table.
+    :ivar newest_rows: newest row version read, by table.
+    :ivar outages: number of outages that this host has seen end.
+    :ivar is_lookout: whether this host watches for silences of the store.
+    :ivar behind_since: when a claim beyond the own version was first heard, by table.
+    :ivar next_read_at: earliest time of the next read because of claims, by table.
+    :ivar next_send_at: when the own view is sent next.
+    :ivar announce_to_all: whether the next view goes to all hosts, since an outage
+        ended.
+    :ivar announce_to_regions: whether the next view goes to a host of each other
+        region, since a table changed.
+    """
+
+    read_up_to: dict[StoreTable, int] = Factory(dict)
+    newest_rows: dict[StoreTable, int] = Factory(dict)
+    outages: int = 0
+    is_lookout: bool = False
+    claimants: dict[str, Claimant] = Factory(dict)
+    behind_since: dict[StoreTable, int] = Factory(dict)
+    next_read_at: dict[StoreTable, int] = Factory(dict)
+    next_send_at: int = 0
+    announce_to_all: bool = False
+    announce_to_regions: bool = False
--- a/packages/almondgap-daemon/almondgap_daemon/gateway/messages.py
+++ b/packages/almondgap-daemon/almondgap_daemon/gateway/messages.py
@@ -14,7 +14,7 @@
 from twisted.internet.protocol import DatagramProtocol
 
 from almondgap_core.exceptions import MessageError
-from almondgap_core.gateway.heartbeats import Heartbeat, HostLocation
+from almondgap_core.gateway.heartbeats import Heartbeat, HostLocation, StoreView
 
 #: Version of the message format. A host ignores messages of other versions.
 FORMAT_VERSION = 1
@@ -47,10 +47,10 @@
 
 
 #: Message types by their number on the wire, which is the position in this tuple.
-MESSAGE_TYPES = (Heartbeat, TokenRequest, TokenResponse)
+MESSAGE_TYPES = (Heartbeat, TokenRequest, TokenResponse, StoreView)
 
 
-Message = Heartbeat | TokenRequest | TokenResponse
+Message = Heartbeat | TokenRequest | TokenResponse | StoreView
 
 
 def encode_message(message: Message) -> bytes:
@@ -77,6 +77,8 @@
             message.correlation_id,
             message.tokens,
         )
+    elif isinstance(message, StoreView):
+        fields = (message.host, message.incarnation, message.versions, message.outages)
     else:
         fields = (message.account, message.correlation_id, message.tokens)
     kind = MESSAGE_TYPES.index(type(message))
@@ -93,7 +95,14 @@
         if format_version != FORMAT_VERSION:
             raise ValueError(f"unsupported format version {format_version!r}")
         return _DECODERS[MESSAGE_TYPES[kind]](*fields)
-    except (ValueError, TypeError, IndexError, msgpack.UnpackException) as exc:
+    except (
+        ArithmeticError,
+        IndexError,
+        RecursionError,
+        TypeError,
+        ValueError,
+        msgpack.UnpackException,
+    ) as exc:
         raise MessageError(f"malformed message: {exc!r}") from exc
 
 
@@ -112,6 +121,12 @@
     TokenRequest: lambda reply_to, account, correlation_id, tokens: TokenRequest(
         str(reply_to), str(account), int(correlation_id), float(tokens)
     ),
+    StoreView: lambda host, incarnation, versions, outages: StoreView(
+        str(host),
+        int(incarnation),
+        tuple(int(version) for version in versions),
+        int(outages),
+    ),
     TokenResponse: lambda account, correlation_id, tokens: TokenResponse(
         str(account), int(correlation_id), float(tokens)
     ),
--- a/packages/almondgap-daemon/almondgap_daemon/gateway/process.py
+++ b/packages/almondgap-daemon/almondgap_daemon/gateway/process.py
@@ -20,6 +20,7 @@
 from almondgap_core.gateway.events import StopRequested
 from almondgap_core.gateway.fleet import list_caller_addresses, register_peers
 from almondgap_core.gateway.state import GatewayState
+from almondgap_core.gateway.store_views import plan_call
 from almondgap_core.units import MICROS_PER_SECOND
 from almondgap_daemon.gateway.logs import LineWriter, ReportLog
 from almondgap_daemon.gateway.messages import MessageSocket
@@ -133,7 +134,7 @@
             seed=random.getrandbits(63),
         )
         runtime = GatewayRuntime(
-            reactor, state, log, GatewayMetrics(), send_message=None
+            reactor, state, log, GatewayMetrics(), send_message=None, read_table=None
         )
         store = StoreClient(reactor, cfg.store)
         return cls(reactor, cfg, path, log, runtime, store)
@@ -147,9 +148,11 @@
             runtime.now,
             random.random,
             self._log_ignored,
+            lambda table, failures: plan_call(runtime.state, table, failures),
         )
         self.messages = MessageSocket(runtime.handle_message, self._log_ignored)
         runtime.send_message = self.messages.send
+        runtime.read_table = self.watcher.read_table
         self.callers = ServerFactory(self.reactor, runtime, self._log_ignored)
         self._settings_mtime = _read_mtime(self.path)
 
--- a/packages/almondgap-daemon/almondgap_daemon/gateway/runtime.py
+++ b/packages/almondgap-daemon/almondgap_daemon/gateway/runtime.py
@@ -17,10 +17,12 @@
     GrantTokens,
     Log,
     Probe,
+    ReadTable,
     Refuse,
     RequestTokens,
     Send,
     SendHeartbeat,
+    SendStoreView,
     StartExpiryTimer,
     StartTokenTimer,
 )
@@ -30,12 +32,13 @@
     CallExpired,
     GatewayEvent,
     HeartbeatReceived,
+    StoreViewReceived,
     Ticked,
     TokensGranted,
     TokensRequested,
     TokensTimedOut,
 )
-from almondgap_core.gateway.heartbeats import Heartbeat
+from almondgap_core.gateway.heartbeats import Heartbeat, StoreView
 from almondgap_core.gateway.reducer import step
 from almondgap_core.gateway.state import GatewayState
 from almondgap_core.units import MICROS_PER_SECOND
@@ -87,6 +90,7 @@
     """Runs one gateway on a Twisted reactor.
 
     :ivar send_message: sends a message to the given addresses.
+    :ivar read_table: reads the changes of a table of the store at once.
     """
 
     reactor: object
@@ -94,6 +98,7 @@
     log: ReportLog
     metrics: GatewayMetrics
     send_message: Callable
+    read_table: Callable
     target_client: TargetClient = field(init=False)
     _pending: dict[int, PendingCall] = field(factory=dict)
     _last_number: int = 0
@@ -117,6 +122,10 @@
             SendHeartbeat: lambda effect: self.send_message(
                 effect.heartbeat, *effect.addresses
             ),
+            SendStoreView: lambda effect: self.send_message(
+                effect.view, *effect.addresses
+            ),
+            ReadTable: lambda effect: self.read_table(effect.table),
             RequestTokens: self._ask_tokens,
             GrantTokens: self._give_tokens,
             StartTokenTimer: self._await_tokens,
@@ -173,6 +182,8 @@
         now = self.now()
         if isinstance(message, Heartbeat):
             self.feed(HeartbeatReceived(now, message))
+        elif isinstance(message, StoreView):
+            self.feed(StoreViewReceived(now, message))
         elif isinstance(message, TokenRequest):
             fields = (message.reply_to, message.account, message.correlation_id)
             self.feed(TokensRequested(now, *fields, message.tokens))
--- a/packages/almondgap-daemon/almondgap_daemon/gateway/watcher.py
+++ b/packages/almondgap-daemon/almondgap_daemon/gateway/watcher.py
@@ -20,10 +20,14 @@
     GatewayEvent,
     StoreLost,
     StoreRegained,
+    StoreTable,
+    TableRead,
     TargetAnnounced,
     TargetsRead,
     TargetWithdrawn,
 )
+from almondgap_core.gateway.store_views import CallPlan
+from almondgap_core.units import MICROS_PER_SECOND
 from almondgap_daemon.platform.records import (
     CONFIGURATION_KEY,
     EVACUATION_PREFIX,
@@ -33,18 +37,14 @@
     decode_announcement,
     decode_configuration,
 )
-from almondgap_daemon.platform.store import (
-    LONG_POLL_S,
-    HistoryLost,
-    RowBatch,
-    StoreClient,
-)
+from almondgap_daemon.platform.store import HistoryLost, RowBatch, StoreClient
 
-#: Bounds of the exponential back-off after a failed call, in seconds. The upper bound
-#: lets a host resume within a second of the store's return, with few calls during an
-#: outage.
+#: Pause after the first failed call, in seconds; it doubles with each further one.
 MIN_BACKOFF_S = 0.1
-MAX_BACKOFF_S = 0.7
+
+#: Age from which a call that does not wait is replaced by a new one, in seconds: the
+#: store was silent when it was sent.
+MIN_CALL_AGE_S = 0.5
 
 #: Delay before the next call after changes of targets, in seconds, so that one call
 #: returns a batch. Less than half of the 2 s within which a draining target must stop
@@ -65,9 +65,15 @@
     recovers. A long poll is therefore sent only right after a successful call;
     otherwise a call that returns at once goes first.
 
-    :ivar on_snapshot: called with all rows of the table.
-    :ivar on_changes: called with the rows that changed.
-    :ivar on_call_result: called after each call with the table and the error, or None.
+    :ivar on_rows: called with the rows that were read, and whether they are all rows
+        of the table.
+    :ivar on_read: called after each successful call with the store version up to
+        which the table is known, the newest version among the rows of the call, 0
+        without any, and whether the call waited for changes.
+    :ivar on_call_result: called after each call with the error, or None.
+    :ivar on_internal_error: called with an exception that was not expected.
+    :ivar plan_call: returns how long a call takes, given the number of calls that
+        failed in a row.
     :ivar uniform: returns a random number in [0, 1), for jitter.
     :ivar batch_delay_s: delay after a long poll that returned changes, in seconds.
     :ivar version: store version up to which rows were read, None before the snapshot.
@@ -76,66 +82,121 @@
     reactor: object
     store: StoreClient
     table: str
-    on_snapshot: Callable[[tuple[StoreRow, ...]], None]
-    on_changes: Callable[[tuple[StoreRow, ...]], None]
-    on_call_result: Callable[[str, str | None], None]
+    on_rows: Callable[[tuple[StoreRow, ...], bool], None]
+    on_read: Callable[[int, int, bool], None]
+    on_call_result: Callable[[str | None], None]
+    on_internal_error: Callable[[Exception], None]
+    plan_call: Callable[[int], CallPlan]
     uniform: Callable[[], float]
     batch_delay_s: float = 0.0
     version: int | None = None
-    running: bool = True
+    _run_number: int = 0
     _answered: bool = False
+    _fresh: bool = False
+    _failures: int = 0
     _backoff_s: float = 0.0
     _current: Deferred | None = None
+    _call_started_s: float = 0.0
+    _batching: bool = False
 
     def start(self) -> None:
         """Start watching the table."""
-        self._current = self._run()
+        self._run_number += 1
+        self._current = self._run(self._run_number)
         self._current.addErrback(lambda failure: failure.trap(CancelledError))
 
     def stop(self) -> None:
         """Stop watching and cancel the call in flight."""
-        self.running = False
+        self._run_number += 1
         if self._current is not None:
             self._current.cancel()
 
+    def read_now(self) -> None:
+        """Read changes at once on a new connection, in place of the call in flight.
+
+        Does nothing while the snapshot is read, or if a read that does not wait was
+        started a moment ago or is due.
+        """
+        # The current run may be the caller, and must not be cancelled in the middle.
+        self.reactor.callLater(0, self._supersede, self._run_number)
+
+    def _supersede(self, number: int) -> None:
+        age_s = self.reactor.seconds() - self._call_started_s
+        is_reading = not self._answered and age_s < MIN_CALL_AGE_S
+        is_stale = self._run_number != number
+        if is_stale or self.version is None or self._batching or is_reading:
+            return
+        # The cancelled run sees that its number is no longer the latest and ends.
+        superseded = self._current
+        self._answered = False
+        self._fresh = True
+        self.start()
+        superseded.cancel()
+
     @inlineCallbacks
-    def _run(self):
-        while self.running:
+    def _run(self, number: int):
+        while self._run_number == number:
             try:
                 yield self._poll()
-            except HistoryLost:
-                self.version = None
-                continue
-            except PlatformError as exc:
-                if not self.running:
+            except Exception as exc:
+                if self._run_number != number:
                     return
-                self._answered = False
-                self.on_call_result(self.table, str(exc))
-                self._backoff_s = min(
-                    max(MIN_BACKOFF_S, self._backoff_s * 2), MAX_BACKOFF_S
-                )
-                yield deferLater(
-                    self.reactor, self._backoff_s * (1 - JITTER_RATIO * self.uniform())
-                )
+                self._handle_error(exc)
+            else:
+                self._failures = 0
+                self._backoff_s = 0.0
+                self.on_call_result(None)
                 continue
-            self._backoff_s = 0.0
-            self.on_call_result(self.table, None)
+            self._answered = False
+            self._failures += 1
+            max_pause = self.plan_call(self._failures).max_pause
+            self._backoff_s = min(
+                max(MIN_BACKOFF_S, self._backoff_s * 2), max_pause / MICROS_PER_SECOND
+            )
+            yield deferLater(
+                self.reactor, self._backoff_s * (1 - JITTER_RATIO * self.uniform())
+            )
+
+    def _handle_error(self, exc: Exception) -> None:
+        if isinstance(exc, HistoryLost):
+            self.version = None
+        elif isinstance(exc, PlatformError):
+            self.on_call_result(str(exc))
+        else:
+            # One row that cannot be handled must not end the watch.
+            self.on_internal_error(exc)
 
     @inlineCallbacks
     def _poll(self):
+        self._call_started_s = self.reactor.seconds()
+        waits = self._answered
         if self.version is None:
             read: RowBatch = yield self.store.read_rows(self.table)
-            self.on_snapshot(read.rows)
+            self.version = read.version
+            self.on_rows(read.rows, True)
         else:
-            wait_s = LONG_POLL_S if self._answered else 0.0
-            read = yield self.store.wait_for_changes(self.table, self.version, wait_s)
+            plan = self.plan_call(self._failures)
+            fresh, self._fresh = self._fresh, False
+            read = yield self.store.wait_for_changes(
+                self.table,
+                self.version,
+                plan.wait / MICROS_PER_SECOND if waits else 0.0,
+                plan.timeout / MICROS_PER_SECOND,
+                reuse=not fresh,
+            )
+            self.version = read.version
             if read.rows:
-                self.on_changes(read.rows)
-        long_polled, self._answered = self._answered, True
-        self.version = read.version
-        if self.batch_delay_s and long_polled and read.rows:
+                self.on_rows(read.rows, False)
+        self._answered = True
+        newest_row = max((row.version for row in read.rows), default=0)
+        self.on_read(read.version, newest_row, waits)
+        if self.batch_delay_s and waits and read.rows:
             # Changes tend to come in bursts; the next call then returns them together.
-            yield deferLater(self.reactor, self.batch_delay_s)
+            self._batching = True
+            try:
+                yield deferLater(self.reactor, self.batch_delay_s)
+            finally:
+                self._batching = False
             self._answered = False
 
 
@@ -147,6 +208,8 @@
     :ivar now: returns the time in microseconds.
     :ivar uniform: returns a random number in [0, 1), for jitter.
     :ivar on_error: called with the reason why a row was ignored.
+    :ivar plan_call: returns how long a call for a table takes, given the number of
+        calls that failed in a row.
     """
 
     reactor: object
@@ -155,36 +218,54 @@
     now: Callable[[], int]
     uniform: Callable[[], float]
     on_error: Callable[[str], None]
+    plan_call: Callable[[StoreTable, int], CallPlan]
     _evacuated: set[str] = Factory(set)
-    _reachable: dict[str, bool] = Factory(dict)
-    _watchers: list[TableWatcher] = field(init=False)
+    _reachable: dict[StoreTable, bool] = Factory(dict)
+    _watchers: dict[StoreTable, TableWatcher] = field(init=False)
 
     def __attrs_post_init__(self) -> None:
-        self._watchers = [
-            self._build_watcher(OPERATORS_TABLE, self._handle_operator_rows, 0.0),
-            self._build_watcher(TARGETS_TABLE, self._handle_target_rows, BATCH_DELAY_S),
-        ]
+        self._watchers = {
+            StoreTable.OPERATORS: self._build_watcher(
+                StoreTable.OPERATORS, OPERATORS_TABLE, self._handle_operator_rows, 0.0
+            ),
+            StoreTable.TARGETS: self._build_watcher(
+                StoreTable.TARGETS,
+                TARGETS_TABLE,
+                self._handle_target_rows,
+                BATCH_DELAY_S,
+            ),
+        }
 
     def start(self) -> None:
         """Start watching all tables."""
-        for watcher in self._watchers:
+        for watcher in self._watchers.values():
             watcher.start()
 
     def stop(self) -> None:
         """Stop watching."""
-        for watcher in self._watchers:
+        for watcher in self._watchers.values():
             watcher.stop()
 
-    def _build_watcher(self, table: str, handler, batch_delay_s: float) -> TableWatcher:
+    def read_table(self, table: StoreTable) -> None:
+        """Read the changes of a table at once."""
+        self._watchers[table].read_now()
+
+    def _build_watcher(
+        self, table: StoreTable, name: str, handler, batch_delay_s: float
+    ) -> TableWatcher:
         return TableWatcher(
             self.reactor,
             self.store,
-            table,
-            lambda rows: handler(rows, True),
-            lambda rows: handler(rows, False),
-            self._record_call_result,
-            self.uniform,
-            batch_delay_s,
+            name,
+            on_rows=handler,
+            on_read=lambda read_up_to, newest_row, waited: self.feed(
+                TableRead(self.now(), table, read_up_to, newest_row, waited)
+            ),
+            on_call_result=lambda error: self._record_call_result(table, error),
+            on_internal_error=lambda exc: self.on_error(f"{name}: {exc!r}"),
+            plan_call=lambda failures: self.plan_call(table, failures),
+            uniform=self.uniform,
+            batch_delay_s=batch_delay_s,
         )
 
     def _handle_operator_rows(self, rows: tuple[StoreRow, ...], whole: bool) -> None:
@@ -229,7 +310,7 @@
         if whole:
             self.feed(TargetsRead(self.now(), tuple(announcements)))
 
-    def _record_call_result(self, table: str, error: str | None) -> None:
+    def _record_call_result(self, table: StoreTable, error: str | None) -> None:
         before = all(self._reachable.values())
         self._reachable[table] = error is None
         after = all(self._reachable.values())
--- a/packages/almondgap-daemon/almondgap_daemon/platform/records.py
+++ b/packages/almondgap-daemon/almondgap_daemon/platform/records.py
@@ -43,6 +43,9 @@
 
 DRAINING_BY_STATE = {"ready": False, "draining": True}
 
+#: What decoding raises for values of other types, and for numbers beyond any range.
+_DECODE_ERRORS = (ArithmeticError, AttributeError, KeyError, TypeError, ValueError)
+
 #: Upper bound of durations, in seconds; larger values are taken for mistakes.
 MAX_DURATION_S = 86_400.0
 
@@ -69,7 +72,12 @@
         removed = bool(data.get("tombstone", False))
         text = None if removed else data.get("value")
         value = None if text is None else base64.b64decode(text, validate=True)
-        return StoreRow(data["table"], data["key"], value, int(data["ver"]))
+        return StoreRow(
+            _check_text(data["table"]),
+            _check_text(data["key"]),
+            value,
+            _check_count(data["ver"]),
+        )
     except (AttributeError, KeyError, TypeError, ValueError, binascii.Error) as exc:
         raise MessageError(f"malformed row: {exc!r}") from exc
 
@@ -96,7 +104,7 @@
             },
             limits=_decode_limits(data.get("limits", {})),
         )
-    except (AttributeError, KeyError, TypeError, ValueError) as exc:
+    except _DECODE_ERRORS as exc:
         raise MessageError(f"malformed configuration: {exc!r}") from exc
 
 
@@ -124,7 +132,7 @@
             draining=DRAINING_BY_STATE[status["state"]],
             warmup_left=_parse_duration(status["cold_left_s"]),
         )
-    except (AttributeError, KeyError, TypeError, ValueError) as exc:
+    except _DECODE_ERRORS as exc:
         raise MessageError(f"malformed announcement: {exc!r}") from exc
 
 
@@ -155,7 +163,7 @@
             _check_text(data["callers"]),
             _check_text(data["peers"]),
         )
-    except (AttributeError, KeyError, TypeError, ValueError) as exc:
+    except _DECODE_ERRORS as exc:
         raise MessageError(f"malformed host: {exc!r}") from exc
 
 
--- a/packages/almondgap-daemon/almondgap_daemon/platform/store.py
+++ b/packages/almondgap-daemon/almondgap_daemon/platform/store.py
@@ -26,10 +26,6 @@
 #: outage.
 CALL_TIMEOUT_S = 1.5
 
-#: Duration of a long poll, in seconds. It need not be short, since TCP keep-alive
-#: detects a dead connection.
-LONG_POLL_S = 20.0
-
 #: Rows per page, which is the store's upper limit.
 MAX_ROWS_PER_PAGE = 500
 
@@ -78,7 +74,7 @@
         query = {"table": table, "part": "", "limit": MAX_ROWS_PER_PAGE}
         while True:
             data = yield self._get("/rows-get", query)
-            rows += _decode_rows(data)
+            rows += _decode_rows(data, table)
             # The version of the first page counts: rows of later pages may be newer,
             # and are then returned once more as changes.
             version = _decode_version(data) if version is None else version
@@ -87,16 +83,31 @@
             query["from"] = rows[-1].key + "\0"
 
     @inlineCallbacks
-    def wait_for_changes(self, table: str, after: int, poll_s: float = LONG_POLL_S):
+    def wait_for_changes(
+        self,
+        table: str,
+        after: int,
+        wait_s: float = 0.0,
+        timeout_s: float = CALL_TIMEOUT_S,
+        reuse: bool = True,
+    ):
         """Return the rows that changed after a version, as a :class:`RowBatch`.
 
-        :param poll_s: time to wait for a change, in seconds; 0 returns at once.
-        :raises HistoryLost: the store has discarded these changes.
+        :param wait_s: time to wait for a change, in seconds; 0 returns at once.
+        :param timeout_s: time-out beyond that, in seconds.
+        :param reuse: whether the call may use a connection that was idle.
+        :raises HistoryLost: the store has discarded these changes, or counts its
+            versions anew.
         :raises PlatformError: the call failed.
         """
-        query = {"table": table, "after": after, "wait_ms": round(poll_s * 1000)}
-        data = yield self._get("/rows-feed", query, poll_s)
-        return RowBatch(tuple(_decode_rows(data)), _decode_version(data))
+        query = {"table": table, "after": after, "wait_ms": round(wait_s * 1000)}
+        if not reuse:
+            self._pool.close()
+        data = yield self._get("/rows-feed", query, wait_s + timeout_s)
+        version = _decode_version(data)
+        if version < after:
+            raise HistoryLost(f"store is at version {version}, before {after}")
+        return RowBatch(tuple(_decode_rows(data, table)), version)
 
     @inlineCallbacks
     def write_row(self, table: str, key: str, value: bytes):
@@ -127,9 +138,9 @@
             raise PlatformUnavailable(f"/rows-tx: status {response.status}")
 
     @inlineCallbacks
-    def _get(self, path: str, query: dict[str, Any], poll_s: float = 0.0):
+    def _get(self, path: str, query: dict[str, Any], timeout_s: float = CALL_TIMEOUT_S):
         target = f"{path}?{urlencode(query)}"
-        response = yield self._call(b"GET", target, b"", poll_s + CALL_TIMEOUT_S)
+        response = yield self._call(b"GET", target, b"", timeout_s)
         if response.status == 410:
             raise HistoryLost(f"{path}: change history is no longer available")
         if response.status != 200:
@@ -170,11 +181,15 @@
     return data
 
 
-def _decode_rows(data: dict[str, Any]) -> list[StoreRow]:
+def _decode_rows(data: dict[str, Any], table: str) -> list[StoreRow]:
     try:
-        return [decode_row(row) for row in data.get("rows", [])]
+        rows = [decode_row(row) for row in data.get("rows", [])]
     except (MessageError, TypeError) as exc:
         raise PlatformAnswerLost(f"malformed rows: {exc}") from exc
+    if any(row.table != table for row in rows):
+        # A late copy of the answer to an earlier call.
+        raise PlatformAnswerLost(f"rows of another table than {table}")
+    return rows
 
 
 def _decode_version(data: dict[str, Any]) -> int:
--- /dev/null
+++ b/tests/daemon/gateway/test_watcher.py
@@ -0,0 +1,206 @@
+"""Hosts that follow a store which falls silent while calls wait for its changes."""
+
+from __future__ import annotations
+
+from unittest import TestCase
+
+from twisted.internet.task import Clock
+
+from almondgap_core.gateway.events import StoreTable
+from almondgap_core.gateway.store_views import CallPlan, find_lookout
+from almondgap_core.units import millis, seconds
+from almondgap_daemon.gateway.watcher import TableWatcher
+from almondgap_daemon.platform.records import OPERATORS_TABLE
+from almondgap_testkit.gateways.followers import (
+    Followers,
+    ModelStore,
+    ModelStoreClient,
+)
+
+FLEET = {"h1": "a1", "h2": "a1", "h3": "a2", "h4": "b1", "h5": "b2"}
+
+#: Bounds of the platform's operators: a host knows of a change within two seconds, and
+#: of the end of a silence within one.
+CHANGE_S, RETURN_S = 2.0, 1.0
+
+
+class SilenceTests(TestCase):
+    def start(self, **failure_domains: str) -> Followers:
+        return Followers.start(**(failure_domains or FLEET))
+
+    def assert_in_force(self, followers: Followers, version: int) -> None:
+        expected = dict.fromkeys(followers.hosts, version)
+        self.assertEqual(followers.list_versions(), expected)
+
+    def test_change_before_the_silence(self):
+        followers = self.start()
+        followers.configure(2)
+        followers.store.silence(*FLEET)
+        followers.run(4.4)
+        followers.store.silent.clear()
+        followers.run(RETURN_S)
+        self.assert_in_force(followers, 2)
+
+    def test_change_during_the_silence(self):
+        for length_s in (0.4, 1.0, 2.5, 4.4, 9.0):
+            with self.subTest(length_s=length_s):
+                followers = self.start()
+                followers.store.silence(*FLEET)
+                followers.run(length_s / 2)
+                followers.configure(2)
+                followers.run(length_s / 2)
+                followers.store.silent.clear()
+                # The lookout's call that was lost ends 2.7 s after it began.
+                followers.run(max(RETURN_S, 2.9 - length_s))
+                self.assert_in_force(followers, 2)
+
+    def test_change_just_after_the_return(self):
+        followers = self.start()
+        followers.store.silence(*FLEET)
+        followers.run(4.4)
+        followers.store.silent.clear()
+        followers.configure(2)
+        followers.run(RETURN_S)
+        self.assert_in_force(followers, 2)
+
+    def test_change_long_after_the_return(self):
+        followers = self.start()
+        followers.store.silence(*FLEET)
+        followers.run(4.4)
+        followers.store.silent.clear()
+        followers.run(5.0)
+        followers.configure(2)
+        followers.run(0.1)
+        self.assert_in_force(followers, 2)
+
+    def test_one_host_hangs_beside_others(self):
+        for host in FLEET:
+            with self.subTest(host=host):
+                followers = self.start()
+                followers.store.silence(host)
+                followers.run(1.0)
+                followers.store.silent.clear()
+                followers.configure(2)
+                followers.run(CHANGE_S)
+                self.assert_in_force(followers, 2)
+
+    def test_host_that_is_alone_in_its_region_hangs(self):
+        followers = self.start(h1="a1", h2="a2", h3="b1")
+        followers.store.silence("h3")
+        followers.run(1.0)
+        followers.store.silent.clear()
+        followers.configure(2)
+        followers.run(CHANGE_S)
+        self.assert_in_force(followers, 2)
+
+    def test_only_host_of_the_fleet(self):
+        followers = self.start(h1="a1")
+        followers.store.silence("h1")
+        followers.run(4.4)
+        followers.configure(2)
+        followers.store.silent.clear()
+        followers.run(RETURN_S)
+        self.assert_in_force(followers, 2)
+
+    def test_lookout_dies_as_the_store_falls_silent(self):
+        followers = self.start()
+        lookout = find_lookout(followers.hosts["h1"].state, followers.now())
+        followers.store.silence(*FLEET)
+        followers.hosts[lookout].watcher.stop()
+        followers.muted.add(lookout)
+        followers.run(4.4)
+        followers.configure(2)
+        followers.store.silent.clear()
+        # Another host takes over when the heartbeats have been missing for 4.6 s.
+        followers.run(RETURN_S + 1.5)
+        versions = followers.list_versions()
+        versions.pop(lookout)
+        self.assertEqual(set(versions.values()), {2})
+
+    def test_hosts_cut_off_from_each_other_find_out_alone(self):
+        followers = self.start()
+        followers.muted |= set(FLEET)
+        followers.run(10.0)
+        followers.store.silence(*FLEET)
+        followers.run(4.4)
+        followers.configure(2)
+        followers.store.silent.clear()
+        followers.run(RETURN_S)
+        self.assert_in_force(followers, 2)
+
+    def test_versions_that_count_anew(self):
+        followers = self.start()
+        for version in range(2, 9):
+            followers.configure(version)
+        followers.run(1.0)
+        followers.store.restart()
+        followers.run(30.0)
+        followers.configure(9)
+        followers.run(CHANGE_S)
+        self.assert_in_force(followers, 9)
+
+
+class CallTests(TestCase):
+    def test_calm_minute_costs_few_calls(self):
+        followers = Followers.start(**FLEET)
+        before = dict(followers.store.calls)
+        followers.run(60.0)
+        calls = {
+            host: count - before[host] for host, count in followers.store.calls.items()
+        }
+        lookout = find_lookout(followers.hosts["h1"].state, followers.now())
+        self.assertLessEqual(calls.pop(lookout), 60 / 2 + 4)
+        self.assertLessEqual(max(calls.values()), 6)
+
+    def test_burst_of_changes_costs_no_more_calls_than_batches(self):
+        followers = Followers.start(**FLEET)
+        before = sum(followers.store.calls.values())
+        for number in range(20):
+            followers.store.write("servers", f"t{number}", b"{}")
+            followers.run(0.2)
+        calls = sum(followers.store.calls.values()) - before
+        # Two calls for each batch of 0.8 s, and the lookout's.
+        self.assertLessEqual(calls, len(FLEET) * 2 * (4.0 / 0.8 + 1) + 4)
+
+    def test_liar_costs_few_calls(self):
+        followers = Followers.start(**FLEET)
+        liar = followers.hosts["h2"].state.store_knowledge
+        before = followers.store.calls["h1"]
+        for number in range(60):
+            liar.newest_rows[StoreTable.OPERATORS] = 1_000_000 + number
+            followers.run(1.0)
+        self.assertLessEqual(followers.store.calls["h1"] - before, 60 / 2 + 4 + 12)
+
+
+class InternalErrorTests(TestCase):
+    def test_rows_that_cannot_be_handled_do_not_end_the_watch(self):
+        clock = Clock()
+        store = ModelStore(clock)
+        store.write(OPERATORS_TABLE, "config", b"1")
+        seen, errors = [], []
+
+        def handle(rows, whole) -> None:
+            if rows and rows[0].value == b"poison":
+                raise RuntimeError("unexpected")
+            seen.extend(row.value for row in rows)
+
+        watcher = TableWatcher(
+            clock,
+            ModelStoreClient(store, "h1"),
+            OPERATORS_TABLE,
+            on_rows=handle,
+            on_read=lambda *read: None,
+            on_call_result=lambda error: None,
+            on_internal_error=errors.append,
+            plan_call=lambda failures: CallPlan(
+                seconds(20), millis(1_500), millis(700)
+            ),
+            uniform=lambda: 0.0,
+        )
+        watcher.start()
+        clock.pump([0.01] * 10)
+        for value in (b"poison", b"2"):
+            store.write(OPERATORS_TABLE, "config", value)
+            clock.pump([0.1] * 20)
+        self.assertEqual(seen, [b"1", b"2"])
+        self.assertEqual(len(errors), 1)
