Keep objects in their region by its room, and weigh failures by evidence

Half of the late answers were fetches of an object that another target had: its first target had failed once (58 of 369), was thought loaded (205), a retry (37), or the set of targets changed (67). Caches do not bind: an object was still there after 30 others.

Each has a test that replays its load and fails on the former rule. The test of the local weight patches the plan now, with the same bounds, since the constant that it patched is gone.

--- a/packages/almondgap-core/almondgap_core/gateway/attempts.py
+++ b/packages/almondgap-core/almondgap_core/gateway/attempts.py
@@ -5,7 +5,7 @@
 from almondgap_core.gateway.effects import Send
 from almondgap_core.gateway.events import AttemptFailed, Failure
 from almondgap_core.gateway.fleet import count_hosts
-from almondgap_core.gateway.health import mark_down
+from almondgap_core.gateway.health import mark_down, record_outcome
 from almondgap_core.gateway.placement import Choice
 from almondgap_core.gateway.reports import RequestPlaced
 from almondgap_core.gateway.state import Call, GatewayState
@@ -56,6 +56,9 @@
             call.attempt,
             target.name,
             state.find_region(target.announcement.failure_domain),
+            call.affinity_key,
+            choice.rank,
+            call.sent_recently,
             round(load, 1),
             (now - target.load_reported_at) // MICROS_PER_MILLI
             if target.load_reported_at
@@ -73,7 +76,7 @@
     if target is None:
         return
     target.in_flight = max(0, target.in_flight - 1)
-    target.failure_rate.add(1.0, event.now)
+    record_outcome(state, target, 1.0, event.now)
     if event.failure is Failure.NOT_CONNECTED:
         mark_down(state, target, event.now, "connection failed")
 
--- a/packages/almondgap-core/almondgap_core/gateway/calls.py
+++ b/packages/almondgap-core/almondgap_core/gateway/calls.py
@@ -27,7 +27,11 @@
     TokensTimedOut,
 )
 from almondgap_core.gateway.fleet import count_hosts
-from almondgap_core.gateway.health import record_answer, record_misdirected
+from almondgap_core.gateway.health import (
+    looks_fetched,
+    record_answer,
+    record_misdirected,
+)
 from almondgap_core.gateway.overload import check_overload
 from almondgap_core.gateway.placement import choose_target
 from almondgap_core.gateway.refusals import refuse_arrival, refuse_call, send_refusal
@@ -201,8 +205,8 @@
 def _deliver(state: GatewayState, call: Call, event: TargetAnswered) -> None:
     del state.calls[call.number]
     state.perform(Deliver(call.number))
-    took = (event.now - call.arrived_at) // MICROS_PER_MILLI
-    attempts = len(call.sent_to)
+    took = event.now - call.arrived_at
+    target_took = event.now - call.sent_at
     state.report(
         RequestAnswered(
             call.request_id,
@@ -211,8 +215,12 @@
             call.route.idempotent,
             call.target,
             event.status,
-            took,
-            attempts,
+            took // MICROS_PER_MILLI,
+            target_took // MICROS_PER_MILLI,
+            looks_fetched(call, target_took),
+            event.load[1] if event.load is not None else -1,
+            took > call.route.goal,
+            len(call.sent_to),
         )
     )
 
--- a/packages/almondgap-core/almondgap_core/gateway/health.py
+++ b/packages/almondgap-core/almondgap_core/gateway/health.py
@@ -17,6 +17,7 @@
 )
 from almondgap_core.gateway.placement import (
     CACHE_MISS_COST,
+    get_failure_share,
     get_service_time,
     is_candidate,
 )
@@ -61,11 +62,14 @@
     if event.misdirected:
         return
     if event.not_executed:
-        target.backoff_until = now + REJECTION_BACKOFF_US
-        target.failure_rate.add(REJECTION_WEIGHT, now)
+        if event.load is None or sum(event.load) >= target.announcement.slots:
+            # It is full; one that rejects requests with slots free would do so later
+            # as well.
+            target.backoff_until = now + REJECTION_BACKOFF_US
+        record_outcome(state, target, REJECTION_WEIGHT, now)
         return
     failed = event.status >= 500 or not event.sealed
-    target.failure_rate.add(1.0 if failed else 0.0, now)
+    record_outcome(state, target, 1.0 if failed else 0.0, now)
     if failed:
         return
     took = now - call.sent_at
@@ -76,6 +80,17 @@
         _learn_service_time(state, call, took, now)
 
 
+def record_outcome(
+    state: GatewayState, target: Target, failure: float, now: int
+) -> None:
+    """Count an answer of a target for it and for its service.
+
+    :param failure: 1 for a failure, 0 for a success, or between.
+    """
+    target.failure_share.add(failure, now)
+    get_failure_share(state, target.announcement.service).add(failure, now)
+
+
 def record_misdirected(state: GatewayState, call: Call, now: int) -> None:
     """Mark a target as down whose address belongs to another one."""
     target = state.targets.get(call.target)
@@ -147,6 +162,14 @@
     return ratio
 
 
+def looks_fetched(call: Call, took: int) -> bool:
+    """Return whether an attempt took as long as one that had to fetch its object.
+
+    :param took: time from sending to the answer, in microseconds.
+    """
+    return call.route.sticky and took > call.expected_if_cached * CACHE_MISS_THRESHOLD
+
+
 def _learn_service_time(state: GatewayState, call: Call, took: int, now: int) -> None:
     """Update a route's service time; a miss is converted to a hit's time first."""
     service_time = get_service_time(state, call.route)
--- a/packages/almondgap-core/almondgap_core/gateway/placement.py
+++ b/packages/almondgap-core/almondgap_core/gateway/placement.py
@@ -10,14 +10,18 @@
 
 from __future__ import annotations
 
+from collections import Counter
+
 from attrs import frozen
 
 from almondgap_core.gateway.ranking import compute_score
+from almondgap_core.gateway.region_plan import plan_shares
 from almondgap_core.gateway.state import Call, GatewayState
 from almondgap_core.gateway.target import (
     MAX_SLOWDOWN,
     MIN_SLOWDOWN,
     DecayingAverage,
+    FailureShare,
     Target,
 )
 from almondgap_core.gateway.warmup import is_warming_up, may_send_warmup
@@ -35,11 +39,6 @@
 #: recently: its cache has it as well, but one copy per object is preferred.
 CACHED_ELSEWHERE_COST = 1.05
 
-#: Weight of targets in the caller's region. With a weight of 4, a surge to three times
-#: the rate moves a tenth of a region's requests to another one within two seconds; with
-#: 2 it is half as much. The platform allows 0.15.
-LOCAL_REGION_WEIGHT = 2.0
-
 #: Initial estimate of a route's service time, as a fraction of its latency goal, until
 #: one has been measured.
 INITIAL_SERVICE_TIME_FRACTION = 0.45
@@ -70,6 +69,7 @@
     :ivar expected: expected latency.
     :ivar queued: part of the expected latency that is spent in the target's queue.
     :ivar expected_if_cached: expected latency if the target has the object cached.
+    :ivar rank: position of the target in the object's order of preference, from 0.
     """
 
     target: Target
@@ -77,6 +77,7 @@
     expected: int
     queued: int
     expected_if_cached: int
+    rank: int = 0
 
 
 def choose_target(state: GatewayState, call: Call, now: int) -> Choice | None:
@@ -91,8 +92,9 @@
         entry for entry in usable if entry[1].name not in state.missing_targets
     ] or usable
     service_time = get_service_time(state, call.route).read(now)
+    usual_failures = get_failure_share(state, call.service).read(now)
     choices = (
-        _rate_target(state, call, target, rank, service_time, now)
+        _rate_target(state, call, target, rank, service_time, usual_failures, now)
         for rank, target in listed
     )
     return min(choices, key=lambda choice: choice.cost, default=None)
@@ -122,6 +124,11 @@
     return service_time
 
 
+def get_failure_share(state: GatewayState, service: str) -> FailureShare:
+    """Return the share of failures at all targets of a service."""
+    return state.failure_shares.setdefault(service, FailureShare())
+
+
 def list_regions(state: GatewayState, call: Call) -> set[str]:
     """Return the regions in which a request may be served."""
     regions = {*state.regions.values(), state.location.region}
@@ -147,17 +154,41 @@
     ]
     if affinity_key:
         name = f"{call.route.name}\0{affinity_key}"
-        targets.sort(key=lambda target: -_compute_score(state, name, target))
+        weights = _weigh_regions(state, call.service, allowed)
+        targets.sort(key=lambda target: -_compute_score(state, name, target, weights))
     if len(state.rank_cache) >= MAX_CACHED_ORDERS:
         state.rank_cache.clear()
     state.rank_cache[key] = (state.targets_epoch, targets)
     return targets
 
 
-def _compute_score(state: GatewayState, name: str, target: Target) -> float:
-    region = state.find_region(target.announcement.failure_domain)
-    weight = LOCAL_REGION_WEIGHT if region == state.location.region else 1.0
-    return compute_score(name, target.name, weight)
+def _weigh_regions(
+    state: GatewayState, service: str, allowed: frozenset[str]
+) -> dict[str, float]:
+    """Return the weight of a slot in each region for this region's callers."""
+    key = (service, allowed)
+    cached = state.region_weights_cache.get(key)
+    if cached is not None and cached[0] == state.targets_epoch:
+        return cached[1]
+    room = Counter()
+    for target in state.targets.values():
+        region = state.find_region(target.announcement.failure_domain)
+        is_offered = target.announcement.service == service and region in allowed
+        if is_offered and is_candidate(state, target):
+            room[region] += target.announcement.slots
+    demand = Counter(state.regions.values())
+    shares = plan_shares(state.location.region, demand, room)
+    weights = {region: share / room[region] for region, share in shares.items()}
+    state.region_weights_cache[key] = (state.targets_epoch, weights)
+    return weights
+
+
+def _compute_score(
+    state: GatewayState, name: str, target: Target, weights: dict[str, float]
+) -> float:
+    announcement = target.announcement
+    weight = weights[state.find_region(announcement.failure_domain)]
+    return compute_score(name, target.name, weight * announcement.slots)
 
 
 def _pick_candidates(
@@ -182,6 +213,7 @@
     target: Target,
     rank: int,
     service_time: float,
+    usual_failures: float,
     now: int,
 ) -> Choice:
     announcement = target.announcement
@@ -191,7 +223,8 @@
     slots = max(1, announcement.slots)
     waiting = max(0.0, target.compute_load(now) + 1 - slots)
     queued = hit_time * waiting / slots
-    failure_cost = target.failure_rate.read(now) * FAILURE_COST * call.route.goal
+    failures = target.failure_share.read(now, usual_failures)
+    failure_cost = failures * FAILURE_COST * call.route.goal
     overhead = queued + _find_rtt(state, announcement.failure_domain)
     expected = hit_time * _estimate_service_factor(call, target, rank, now) + overhead
     return Choice(
@@ -200,6 +233,7 @@
         round(expected),
         round(queued),
         round(hit_time + overhead),
+        rank,
     )
 
 
--- a/packages/almondgap-core/almondgap_core/gateway/reports.py
+++ b/packages/almondgap-core/almondgap_core/gateway/reports.py
@@ -20,6 +20,9 @@
 
     :ivar attempt: number of the attempt, from 1.
     :ivar region: region of the target.
+    :ivar affinity_key: key of the object that the request concerns.
+    :ivar rank: position of the target in the object's order of preference, from 0.
+    :ivar sent_recently: whether this host sent the object there a short time ago.
     :ivar load: estimated number of requests at the target.
     :ivar load_age_ms: age of the target's last load report, -1 if it made none.
     :ivar expected_ms: expected latency.
@@ -33,6 +36,9 @@
     attempt: int
     target: str
     region: str
+    affinity_key: str
+    rank: int
+    sent_recently: bool
     load: float
     load_age_ms: int
     expected_ms: int
@@ -45,6 +51,10 @@
     """A target's answer was forwarded to the caller.
 
     :ivar idempotent: whether the request may run more than once.
+    :ivar target_ms: time from sending the last attempt to its answer.
+    :ivar fetched: whether that time suggests that the target had to fetch the object.
+    :ivar waiting: requests that waited at the target when it answered, -1 if unknown.
+    :ivar late: whether the answer missed the route's latency goal on this host.
     """
 
     request: str
@@ -54,6 +64,10 @@
     target: str
     status: int
     took_ms: int
+    target_ms: int
+    fetched: bool
+    waiting: int
+    late: bool
     attempts: int
 
 
--- a/packages/almondgap-core/almondgap_core/gateway/state.py
+++ b/packages/almondgap-core/almondgap_core/gateway/state.py
@@ -17,7 +17,7 @@
 from almondgap_core.gateway.reports import Report
 from almondgap_core.gateway.retry_budget import RetryBudget
 from almondgap_core.gateway.store_knowledge import StoreKnowledge
-from almondgap_core.gateway.target import DecayingAverage, Target
+from almondgap_core.gateway.target import DecayingAverage, FailureShare, Target
 from almondgap_core.gateway.token_bucket import TokenBucket, Tolerance
 from almondgap_core.units import seconds
 
@@ -124,6 +124,8 @@
     :ivar targets_epoch: changes whenever the set of usable targets does.
     :ivar rank_cache: targets in order of preference for an object, with the epoch for
         which the order holds.
+    :ivar region_weights_cache: weight of a slot in each region by service and allowed
+        regions, with the epoch for which it holds.
     :ivar missing_targets: targets that the store no longer lists, with the time at
         which they are dropped.
     :ivar store_lost: when the store stopped answering, None while it answers.
@@ -136,6 +138,7 @@
     :ivar token_requests: requests that wait for tokens of a peer, by client account.
     :ivar last_correlation_id: correlation id of the latest token request.
     :ivar service_times: service time of a cached object, by route; excludes queueing.
+    :ivar failure_shares: share of failures at all targets, by service.
     :ivar backend_credit: credit of each service in the weighted round robin of a route.
     :ivar last_event_at: time of the latest event, in microseconds.
     :ivar effects: effects of the current step.
@@ -153,6 +156,7 @@
     targets: dict[str, Target] = Factory(dict)
     targets_epoch: int = 0
     rank_cache: dict[tuple, tuple[int, list[Target]]] = Factory(dict)
+    region_weights_cache: dict[tuple, tuple[int, dict[str, float]]] = Factory(dict)
     missing_targets: dict[str, int] = Factory(dict)
     store_lost: int | None = None
     store_regained: int | None = None
@@ -169,6 +173,7 @@
     last_correlation_id: int = 0
     retry_budgets: dict[str, RetryBudget] = Factory(dict)
     service_times: dict[str, DecayingAverage] = Factory(dict)
+    failure_shares: dict[str, FailureShare] = Factory(dict)
     backend_credit: dict[str, dict[str, float]] = Factory(dict)
     last_event_at: int = 0
     effects: list[GatewayEffect] = Factory(list)
--- a/packages/almondgap-core/almondgap_core/gateway/target.py
+++ b/packages/almondgap-core/almondgap_core/gateway/target.py
@@ -14,6 +14,10 @@
 #: of a disturbance, so that a recovered target is tried again.
 HALF_LIFE_US = seconds(4)
 
+#: Number of answers with the usual share of failures that are assumed beside those
+#: observed.
+ASSUMED_ANSWERS = 4.0
+
 #: Time in which a reported load loses half its weight: about one request's service
 #: time.
 LOAD_HALF_LIFE_US = seconds(0.5)
@@ -74,6 +78,44 @@
         self.updated_at = now
 
 
+@define
+class FailureShare:
+    """Share of failures among recent answers, as far as there is evidence.
+
+    Handles targets that fail one request in hundreds as well as those that fail half:
+    a single failure among many answers says little, one without any other answer more.
+    A target of which little is known is assumed to fail as often as others do, so that
+    a failure of all targets alike moves no object.
+
+    :ivar failures: failures, each with half its weight after a half-life.
+    :ivar answers: answers and failures, with the same weights.
+    :ivar updated_at: when the last one was added, in microseconds.
+    """
+
+    failures: float = 0.0
+    answers: float = 0.0
+    updated_at: int = 0
+
+    def read(self, now: int, usual: float = 0.0) -> float:
+        """Return the share, closer to the usual one the fewer answers there are.
+
+        :param usual: share of failures at all targets of the service.
+        """
+        weight = 0.5 ** (max(0, now - self.updated_at) / HALF_LIFE_US)
+        failures = self.failures * weight + usual * ASSUMED_ANSWERS
+        return failures / (self.answers * weight + ASSUMED_ANSWERS)
+
+    def add(self, failure: float, now: int) -> None:
+        """Add an answer.
+
+        :param failure: 1 for a failure, 0 for a success, or between.
+        """
+        weight = 0.5 ** (max(0, now - self.updated_at) / HALF_LIFE_US)
+        self.failures = self.failures * weight + failure
+        self.answers = self.answers * weight + 1.0
+        self.updated_at = now
+
+
 @define
 class Target:
     """A target and what this host has observed of it; times in microseconds.
@@ -83,7 +125,7 @@
     :ivar peer_load: requests of other hosts that it had according to its last report.
     :ivar load_reported_at: when it last reported its load.
     :ivar slowdown: its latency relative to other targets of its service.
-    :ivar failure_rate: fraction of its answers that are failures.
+    :ivar failure_share: share of failures among its recent answers.
     :ivar consecutive_timeouts: requests in a row that it left without an answer.
     :ivar down_since: when it was marked as down, None while it is up.
     :ivar next_probe_at: when it is probed next while it is down.
@@ -101,7 +143,7 @@
     peer_load: float = 0.0
     load_reported_at: int = 0
     slowdown: DecayingAverage = Factory(lambda: DecayingAverage(1.0, 1.0))
-    failure_rate: DecayingAverage = Factory(lambda: DecayingAverage(0.0, 0.0))
+    failure_share: FailureShare = Factory(FailureShare)
     consecutive_timeouts: int = 0
     down_since: int | None = None
     next_probe_at: int = 0
@@ -143,7 +185,7 @@
         self.known_since = now
         self.peer_load = 0.0
         self.slowdown = DecayingAverage(1.0, 1.0)
-        self.failure_rate = DecayingAverage(0.0, 0.0)
+        self.failure_share = FailureShare()
         self.consecutive_timeouts = 0
         self.down_since = None
         self.failed_probes = 0
--- a/packages/almondgap-testkit/almondgap_testkit/gateways/simulation.py
+++ b/packages/almondgap-testkit/almondgap_testkit/gateways/simulation.py
@@ -244,12 +244,13 @@
         at = self.clock.now + start
         end = at + duration
         object_count = call.pop("things", 20)
+        prefix = call.pop("object_prefix", "")
         while True:
             at += round(self.rng.expovariate(rate) * 1_000_000)
             if at >= end:
                 return
             host = self.rng.choice(hosts)
-            affinity_key = str(self.rng.randrange(object_count))
+            affinity_key = f"{prefix}{self.rng.randrange(object_count)}"
             self.clock.call_at(
                 at,
                 lambda host=host, affinity_key=affinity_key: self.call(
--- a/tests/core/gateway/test_placement.py
+++ b/tests/core/gateway/test_placement.py
@@ -16,8 +16,11 @@
 from almondgap_core.gateway.configuration import Account
 from almondgap_core.gateway.effects import Send
 from almondgap_core.gateway.events import AttemptFailed, Failure, TargetAnswered
+from almondgap_core.gateway.reports import RequestPlaced
+from almondgap_core.gateway.target import HALF_LIFE_US, SAMPLE_WEIGHT, FailureShare
 from almondgap_core.units import millis, seconds
 from almondgap_core.verdict import Verdict
+from almondgap_testkit.gateways import builders, simulation
 from almondgap_testkit.gateways.builders import (
     KEY,
     GatewayHarness,
@@ -236,6 +239,91 @@
         self.assertGreater(pace, 1.5)
 
 
+def share_by_room(region: str, demand, room) -> dict[str, float]:
+    """Give each region requests by its room alone, wherever they come from."""
+    total = sum(room.values())
+    return {name: value / total for name, value in room.items()}
+
+
+def share_by_double_weight(region: str, demand, room) -> dict[str, float]:
+    """Let the targets of the callers' region weigh twice, whatever their number."""
+    weighed = {
+        name: value * (2.0 if name == region else 1.0) for name, value in room.items()
+    }
+    total = sum(weighed.values())
+    return {name: value / total for name, value in weighed.items()}
+
+
+def estimate_former_failures(share, now: int, usual: float = 0.0) -> float:
+    """Read the share of failures as if five answers were all there are."""
+    weight = 0.5 ** (max(0, now - share.updated_at) / HALF_LIFE_US)
+    return min(1.0, share.failures * weight * SAMPLE_WEIGHT)
+
+
+class FailureTests(TestCase):
+    """Load pattern: targets that serve hundreds of requests fail one of 250."""
+
+    def replay(self, seed: int) -> Simulation:
+        cfg = build_configuration(accounts={"one": Account("one", frozenset({KEY}))})
+        sim = Simulation(cfg, rng=random.Random(seed))
+        for number in range(10):
+            sim.add_target(announce(f"t{number}", slots=6), service_time=millis(100))
+        for name, failure_domain in HOSTS.items():
+            sim.add_host(name, failure_domain)
+        sim.generate_load(list(HOSTS), 200.0, seconds(20), things=100)
+        for step in range(40):
+            target = sim.targets[f"t{step % 10}"]
+            at = sim.clock.now + seconds(4) + step * millis(400)
+            sim.clock.call_at(
+                at, lambda target=target: setattr(target, "mode", "failing")
+            )
+            sim.clock.call_at(
+                at + millis(60), lambda target=target: setattr(target, "mode", "well")
+            )
+        sim.run(seconds(22))
+        return sim
+
+    def test_single_failures_move_few_objects(self):
+        for seed in (1, 2):
+            now = self.replay(seed)
+            with patch.object(FailureShare, "read", estimate_former_failures):
+                baseline = self.replay(seed)
+            fetched = count_cache_misses(now) - 100
+            self.assertLess(fetched, 0.7 * (count_cache_misses(baseline) - 100))
+            self.assertGreaterEqual(count_on_time(now), count_on_time(baseline))
+
+    def test_service_that_fails_everywhere_alike_keeps_its_objects(self):
+        cfg = build_configuration(routes=(build_route(max_attempts=1),))
+        harness = GatewayHarness.build(TARGETS, cfg)
+        firsts = {}
+        for key in range(40):
+            harness.call(affinity_key=str(key))
+            send = harness.find(Send)[0]
+            firsts[key] = send.target
+            feed_answer(harness, send, millis(100))
+        moved = 0
+        for number in range(200):
+            harness.call(affinity_key=str(number % 40))
+            send = harness.find(Send)[0]
+            moved += send.target != firsts[number % 40]
+            shed = number % 2 == 0
+            changes = {"status": 503, "not_executed": True} if shed else {}
+            feed_answer(harness, send, millis(100), **changes)
+        self.assertLessEqual(moved, 20)
+
+    def test_target_that_fails_half_is_soon_avoided(self):
+        share = FailureShare()
+        for number in range(6):
+            share.add(float(number % 2 == 0), seconds(10) + number * millis(50))
+        self.assertGreater(share.read(seconds(10) + millis(300)) * 3.0, 0.75)
+
+    def test_failure_without_any_other_answer_weighs_as_much_as_before(self):
+        share = FailureShare()
+        share.add(1.0, seconds(10))
+        self.assertAlmostEqual(share.read(seconds(10)), SAMPLE_WEIGHT)
+        self.assertLess(share.read(seconds(30)), 0.02)
+
+
 class LocalRegionWeightTests(TestCase):
     """Load pattern: callers in two regions, one of which has twice the targets."""
 
@@ -258,7 +346,7 @@
 
     def test_most_objects_stay_in_the_region_of_their_callers(self):
         local = self.count_by_region("a1")["a"] + self.count_by_region("b1")["b"]
-        with patch.object(placement, "LOCAL_REGION_WEIGHT", 1.0):
+        with patch.object(placement, "plan_shares", share_by_room):
             baseline = self.count_by_region("a1")["a"] + self.count_by_region("b1")["b"]
         self.assertGreater(local, 0.6 * 800)
         self.assertGreater(local, 1.2 * baseline)
@@ -268,3 +356,70 @@
         fair_share = 800 / 12
         self.assertLess(both["b"] / 4, 1.3 * fair_share)
         self.assertLess(both["a"] / 8, 1.3 * fair_share)
+
+
+class RegionPlanReplayTests(TestCase):
+    """Load pattern: three regions with as many callers, of unequal room.
+
+    Region a has eight targets, b six and c two; callers of each ask for 60 objects of
+    their own, at a third of what the targets can serve.
+    """
+
+    TARGETS_BY_DOMAIN = {"a1": 4, "a2": 4, "b1": 3, "b2": 3, "c1": 1, "c2": 1}
+    HOSTS = {"h1": "a1", "h2": "b1", "h3": "c1"}
+    REGIONS = {domain: domain[0] for domain in TARGETS_BY_DOMAIN}
+
+    def replay(self, seed: int) -> Simulation:
+        with (
+            patch.dict(simulation.REGIONS, self.REGIONS),
+            patch.dict(builders.REGIONS, self.REGIONS),
+        ):
+            sim = self.build(seed)
+            for name in self.HOSTS:
+                sim.generate_load(
+                    [name], 100.0, seconds(12), things=60, object_prefix=f"{name}-"
+                )
+            sim.run(seconds(14))
+        return sim
+
+    def build(self, seed: int) -> Simulation:
+        cfg = build_configuration(accounts={"one": Account("one", frozenset({KEY}))})
+        sim = Simulation(cfg, rng=random.Random(seed))
+        for domain, count in self.TARGETS_BY_DOMAIN.items():
+            for number in range(count):
+                announcement = announce(
+                    f"{domain}-{number}", failure_domain=domain, slots=6
+                )
+                sim.add_target(announcement, service_time=millis(100))
+        for name, domain in self.HOSTS.items():
+            sim.add_host(name, domain)
+        return sim
+
+    def count_crossing(self, sim: Simulation) -> int:
+        return sum(
+            report.region != self.HOSTS[host][0]
+            for _, host, report in sim.reports
+            if isinstance(report, RequestPlaced)
+        )
+
+    def test_few_requests_leave_their_region(self):
+        for seed in (1, 2):
+            now = self.replay(seed)
+            with patch.object(placement, "plan_shares", share_by_double_weight):
+                baseline = self.replay(seed)
+            self.assertLess(
+                self.count_crossing(now), 0.6 * self.count_crossing(baseline)
+            )
+            self.assertGreaterEqual(count_on_time(now), 0.99 * count_on_time(baseline))
+            for host in self.HOSTS:
+                served = self.count_on_time_at(now, host)
+                self.assertGreaterEqual(
+                    served, 0.95 * self.count_on_time_at(baseline, host)
+                )
+
+    def count_on_time_at(self, sim: Simulation, host: str) -> int:
+        return sum(
+            outcome.status == 200 and outcome.latency <= millis(400)
+            for outcome in sim.outcomes
+            if outcome.host == host
+        )
