--- a/packages/almondgap-cli/almondgap_cli/commands/explain.py
+++ b/packages/almondgap-cli/almondgap_cli/commands/explain.py
@@ -22,14 +22,15 @@
 
     def __call__(self) -> None:
         """Print the request's log lines by time; exit with 1 if there are none."""
-        timeline = RequestTimeline.from_lines(self.request, _read_files(self.logs))
+        timeline = RequestTimeline.from_lines(self.request, read_files(self.logs))
         for line in timeline.describe():
             print(line)
         if not timeline.lines:
             raise cappa.Exit(code=1)
 
 
-def _read_files(paths: list[Path]) -> Iterator[str]:
+def read_files(paths: list[Path]) -> Iterator[str]:
+    """Yield the lines of log files; exit with 1 if one cannot be read."""
     for path in paths:
         try:
             with open(path, errors="replace") as log:
--- a/packages/almondgap-cli/almondgap_cli/main.py
+++ b/packages/almondgap-cli/almondgap_cli/main.py
@@ -16,6 +16,7 @@
 from almondgap_cli.commands.history import History
 from almondgap_cli.commands.keys import Keys
 from almondgap_cli.commands.lookup import Lookup
+from almondgap_cli.commands.losses import Losses
 from almondgap_cli.commands.map import Map
 from almondgap_cli.commands.operation import Operation
 from almondgap_cli.commands.replay import Replay
@@ -40,6 +41,7 @@
         | History
         | Keys
         | Lookup
+        | Losses
         | Map
         | Operation
         | Replay
--- a/packages/almondgap-testkit/almondgap_testkit/gateways/simulation.py
+++ b/packages/almondgap-testkit/almondgap_testkit/gateways/simulation.py
@@ -77,6 +77,8 @@
 
     :ivar service_time: service time of a cache hit, in microseconds.
     :ivar queue_length: maximum number of waiting requests.
+    :ivar max_cached: number of objects in its cache.
+    :ivar miss_cost: service time of a cache miss relative to a hit.
     :ivar mode: ``well``, ``dead`` (refuses connections), ``silent`` (never answers),
         ``failing`` (answers 500), ``shedding`` (answers that it did not run).
     :ivar runs: request ids that it started to process, with the time.
@@ -86,6 +88,8 @@
     announcement: Announcement
     service_time: int = millis(100)
     queue_length: int = 9
+    max_cached: int = MAX_CACHED_OBJECTS
+    miss_cost: float = CACHE_MISS_COST
     mode: str = "well"
     running: int = 0
     waiting: deque = Factory(deque)
@@ -99,9 +103,9 @@
         self.cache_misses += not hit
         self.cached.pop(affinity_key, None)
         self.cached[affinity_key] = 1
-        while len(self.cached) > MAX_CACHED_OBJECTS:
+        while len(self.cached) > self.max_cached:
             del self.cached[next(iter(self.cached))]
-        return self.service_time if hit else round(self.service_time * CACHE_MISS_COST)
+        return self.service_time if hit else round(self.service_time * self.miss_cost)
 
 
 @define
