--- a/packages/almondgap-core/almondgap_core/gateway/store_knowledge.py
+++ b/packages/almondgap-core/almondgap_core/gateway/store_knowledge.py
@@ -30,7 +30,7 @@
     :ivar read_up_to: store version up to which this host knows a table.
     :ivar newest_rows: newest row version read, by table.
     :ivar outages: number of outages that this host has seen end.
-    :ivar is_lookout: whether this host watches for silences of the store, as each one
+    :ivar is_monitor: whether this host watches for silences of the store, as each one
         does until it hears of others.
     :ivar behind_since: when a claim beyond the own version was first heard, by table.
     :ivar next_read_at: earliest time of the next read because of claims, by table.
@@ -44,7 +44,7 @@
     read_up_to: dict[StoreTable, int] = Factory(dict)
     newest_rows: dict[StoreTable, int] = Factory(dict)
     outages: int = 0
-    is_lookout: bool = True
+    is_monitor: bool = True
     claimants: dict[str, Claimant] = Factory(dict)
     behind_since: dict[StoreTable, int] = Factory(dict)
     next_read_at: dict[StoreTable, int] = Factory(dict)
--- a/packages/almondgap-core/almondgap_core/gateway/store_views.py
+++ b/packages/almondgap-core/almondgap_core/gateway/store_views.py
@@ -4,7 +4,7 @@
 answered, even after the store is back, and its host would go on with old rows beside
 hosts that know better. Each host tells those of its region the newest row version that
 it has read of each table; a host that hears of a newer one reads again at once. One
-host of the fleet, the lookout, waits for short times only, so that it notices a silence
+host of the fleet, the monitor, waits for short times only, so that it notices a silence
 of the whole store; when the store answers it again, it tells all hosts, which then
 renew their calls.
 """
@@ -45,27 +45,27 @@
 MIN_DISTRUST_US = seconds(1)
 MAX_DISTRUST_US = seconds(60)
 
-#: Duration of a call that waits for changes: of the lookout's calls for the operators'
+#: Duration of a call that waits for changes: of the monitor's calls for the operators'
 #: rows, and of all others. The platform allows 30 s.
-LOOKOUT_WAIT_US = seconds(2)
+MONITOR_WAIT_US = seconds(2)
 USUAL_WAIT_US = seconds(28)
 
-#: Time-out beyond the wait of a call: of the lookout's, so that it notices within a
+#: Time-out beyond the wait of a call: of the monitor's, so that it notices within a
 #: second that the store is back, and of all others. A slow store takes 0.3 s; if it is
-#: slower still, the hosts with the usual time-out read what the lookout does not.
-LOOKOUT_TIMEOUT_US = millis(700)
+#: slower still, the hosts with the usual time-out read what the monitor does not.
+MONITOR_TIMEOUT_US = millis(700)
 USUAL_TIMEOUT_US = millis(1_500)
 
-#: Calls in a row after which a lookout without peers uses the usual time-out once.
+#: Calls in a row after which a monitor without peers uses the usual time-out once.
 MAX_SHORT_TIMEOUTS = 11
 
-#: Key under which hosts are ranked to find the lookout.
-LOOKOUT_RANK_KEY = "store lookout"
+#: Key under which hosts are ranked to find the monitor.
+MONITOR_RANK_KEY = "store monitor"
 
 
-#: Maximum pause after a call that failed: the lookout's, and that of all others, which
+#: Maximum pause after a call that failed: the monitor's, and that of all others, which
 #: bounds the calls during an outage.
-LOOKOUT_PAUSE_US = millis(250)
+MONITOR_PAUSE_US = millis(250)
 USUAL_PAUSE_US = millis(700)
 
 
@@ -89,18 +89,18 @@
     :param failures: number of calls for it that failed in a row.
     """
     knowledge = state.store_knowledge
-    if not knowledge.is_lookout:
+    if not knowledge.is_monitor:
         return CallPlan(USUAL_WAIT_US, USUAL_TIMEOUT_US, USUAL_PAUSE_US)
-    wait = LOOKOUT_WAIT_US if table is StoreTable.OPERATORS else USUAL_WAIT_US
+    wait = MONITOR_WAIT_US if table is StoreTable.OPERATORS else USUAL_WAIT_US
     if knowledge.claimants:
         is_slow = table in knowledge.behind_since
     else:
         is_slow = failures % (MAX_SHORT_TIMEOUTS + 1) == MAX_SHORT_TIMEOUTS
-    timeout = USUAL_TIMEOUT_US if is_slow else LOOKOUT_TIMEOUT_US
-    return CallPlan(wait, timeout, LOOKOUT_PAUSE_US)
+    timeout = USUAL_TIMEOUT_US if is_slow else MONITOR_TIMEOUT_US
+    return CallPlan(wait, timeout, MONITOR_PAUSE_US)
 
 
-def find_lookout(state: GatewayState, now: int) -> str:
+def find_monitor(state: GatewayState, now: int) -> str:
     """Return the name of the host that watches for silences of the store."""
     hosts = [
         peer.location.host
@@ -111,7 +111,7 @@
         hosts.append(state.location.host)
     if not hosts:
         return state.location.host
-    return max(hosts, key=lambda host: compute_rank(LOOKOUT_RANK_KEY, host))
+    return max(hosts, key=lambda host: compute_rank(MONITOR_RANK_KEY, host))
 
 
 def handle_table_read(state: GatewayState, event: TableRead) -> None:
@@ -124,7 +124,7 @@
     knowledge.read_up_to[table] = event.read_up_to
     if event.newest_row > knowledge.newest_rows.get(table, 0):
         knowledge.newest_rows[table] = event.newest_row
-        if knowledge.is_lookout:
+        if knowledge.is_monitor:
             knowledge.announce_to_regions = True
             knowledge.next_send_at = event.now
     if event.waited:
@@ -148,8 +148,8 @@
         claimant = knowledge.claimants[view.host] = Claimant(evolve(view, outages=0))
     previous, claimant.view = claimant.view, view
     outages_before = previous.outages if previous.incarnation == view.incarnation else 0
-    is_lookout = find_lookout(state, event.now) == view.host
-    if view.outages > outages_before and is_lookout:
+    is_monitor = find_monitor(state, event.now) == view.host
+    if view.outages > outages_before and is_monitor:
         for table in StoreTable:
             _read_again(state, table, event.now)
 
@@ -157,11 +157,11 @@
 def handle_tick(state: GatewayState, event: Ticked) -> None:
     """Act on claims that still stand, and send the own view when it is due."""
     knowledge = state.store_knowledge
-    was_lookout = knowledge.is_lookout
-    knowledge.is_lookout = find_lookout(state, event.now) == state.location.host
+    was_monitor = knowledge.is_monitor
+    knowledge.is_monitor = find_monitor(state, event.now) == state.location.host
     is_reading = StoreTable.OPERATORS not in knowledge.read_up_to
-    if knowledge.is_lookout and not was_lookout and not is_reading:
-        # The call in flight may wait for longer than a lookout's.
+    if knowledge.is_monitor and not was_monitor and not is_reading:
+        # The call in flight may wait for longer than a monitor's.
         _read_again(state, StoreTable.OPERATORS, event.now)
     for table in StoreTable:
         _check_claims(state, table, event.now)
@@ -175,12 +175,12 @@
 
 
 def record_outage_end(state: GatewayState, now: int) -> None:
-    """Renew the calls after an outage; the lookout tells all hosts to do the same."""
+    """Renew the calls after an outage; the monitor tells all hosts to do the same."""
     knowledge = state.store_knowledge
     knowledge.outages += 1
     for table in StoreTable:
         _read_again(state, table, now)
-    if knowledge.is_lookout:
+    if knowledge.is_monitor:
         knowledge.announce_to_all = True
         _send_view(state, now)
 
--- a/tests/daemon/gateway/test_watcher.py
+++ b/tests/daemon/gateway/test_watcher.py
@@ -7,7 +7,7 @@
 from twisted.internet.task import Clock
 
 from almondgap_core.gateway.events import StoreTable
-from almondgap_core.gateway.store_views import CallPlan, find_lookout
+from almondgap_core.gateway.store_views import CallPlan, find_monitor
 from almondgap_core.units import millis, seconds
 from almondgap_daemon.gateway.watcher import TableWatcher
 from almondgap_daemon.platform.records import OPERATORS_TABLE
@@ -50,7 +50,7 @@
                 followers.configure(2)
                 followers.run(length_s / 2)
                 followers.store.silent.clear()
-                # The lookout's call that was lost ends 2.7 s after it began.
+                # The monitor's call that was lost ends 2.7 s after it began.
                 followers.run(max(RETURN_S, 2.9 - length_s))
                 self.assert_in_force(followers, 2)
 
@@ -102,19 +102,19 @@
         followers.run(RETURN_S)
         self.assert_in_force(followers, 2)
 
-    def test_lookout_dies_as_the_store_falls_silent(self):
+    def test_monitor_dies_as_the_store_falls_silent(self):
         followers = self.start()
-        lookout = find_lookout(followers.hosts["h1"].state, followers.now())
+        monitor = find_monitor(followers.hosts["h1"].state, followers.now())
         followers.store.silence(*FLEET)
-        followers.hosts[lookout].watcher.stop()
-        followers.muted.add(lookout)
+        followers.hosts[monitor].watcher.stop()
+        followers.muted.add(monitor)
         followers.run(4.4)
         followers.configure(2)
         followers.store.silent.clear()
         # Another host takes over when the heartbeats have been missing for 4.6 s.
         followers.run(RETURN_S + 1.5)
         versions = followers.list_versions()
-        versions.pop(lookout)
+        versions.pop(monitor)
         self.assertEqual(set(versions.values()), {2})
 
     def test_hosts_cut_off_from_each_other_find_out_alone(self):
@@ -148,8 +148,8 @@
         calls = {
             host: count - before[host] for host, count in followers.store.calls.items()
         }
-        lookout = find_lookout(followers.hosts["h1"].state, followers.now())
-        self.assertLessEqual(calls.pop(lookout), 60 / 2 + 4)
+        monitor = find_monitor(followers.hosts["h1"].state, followers.now())
+        self.assertLessEqual(calls.pop(monitor), 60 / 2 + 4)
         self.assertLessEqual(max(calls.values()), 6)
 
     def test_burst_of_changes_costs_no_more_calls_than_batches(self):
@@ -159,7 +159,7 @@
             followers.store.write("servers", f"t{number}", b"{}")
             followers.run(0.2)
         calls = sum(followers.store.calls.values()) - before
-        # Two calls for each batch of 0.8 s, and the lookout's.
+        # Two calls for each batch of 0.8 s, and the monitor's.
         self.assertLessEqual(calls, len(FLEET) * 2 * (4.0 / 0.8 + 1) + 4)
 
     def test_liar_costs_few_calls(self):
