Refute only claims that were heard before the read began

Cause, found on reading the diff: a peer's claim that arrives while a read is under way may be newer than what the read returns, and was taken for a lie. With a store that takes 0.3 s an answer, a host could then have ignored the one claim that tells it of a change which its own call never brings.

Change: a claim keeps the time at which it was first heard, and a read that was sent before it says nothing about it. Views of hosts that are not in the store's list are ignored, so that datagrams cannot fill the memory.

--- a/packages/almondgap-core/almondgap_core/gateway/events.py
+++ b/packages/almondgap-core/almondgap_core/gateway/events.py
@@ -175,13 +175,13 @@
 
     :ivar read_up_to: store version up to which the table is known.
     :ivar newest_row: newest version among the rows read, 0 without rows.
-    :ivar waited: whether the call waited for a change.
+    :ivar asked_at: when the call was sent.
     """
 
     table: StoreTable
     read_up_to: int
     newest_row: int
-    waited: bool
+    asked_at: int
 
 
 @frozen
--- a/packages/almondgap-core/almondgap_core/gateway/store_knowledge.py
+++ b/packages/almondgap-core/almondgap_core/gateway/store_knowledge.py
@@ -12,12 +12,14 @@
 class Claimant:
     """A peer that tells what it has read of the store; times in microseconds.
 
+    :ivar claimed_at: when its present claim was first heard, by table.
     :ivar refuted: the last version claimed of each table that the store did not have.
     :ivar misses: number of claims refuted in a row.
     :ivar ignored_until: when its claims count again.
     """
 
     view: StoreView
+    claimed_at: dict[StoreTable, int] = Factory(dict)
     refuted: dict[StoreTable, int] = Factory(dict)
     misses: int = 0
     ignored_until: int = 0
--- a/packages/almondgap-core/almondgap_core/gateway/store_views.py
+++ b/packages/almondgap-core/almondgap_core/gateway/store_views.py
@@ -16,7 +16,6 @@
 from almondgap_core.gateway.effects import ReadTable, SendStoreView
 from almondgap_core.gateway.events import (
     GatewayEvent,
-    StopRequested,
     StoreTable,
     StoreViewReceived,
     TableRead,
@@ -26,7 +25,7 @@
 from almondgap_core.gateway.heartbeats import StoreView
 from almondgap_core.gateway.ranking import compute_rank
 from almondgap_core.gateway.reports import ClaimRefuted, TableBehind
-from almondgap_core.gateway.state import GatewayState
+from almondgap_core.gateway.state import GatewayState, Peer
 from almondgap_core.gateway.store_knowledge import Claimant
 from almondgap_core.units import MICROS_PER_MILLI, millis, seconds
 
@@ -127,26 +126,28 @@
         if knowledge.is_monitor:
             knowledge.announce_to_regions = True
             knowledge.next_send_at = event.now
-    if event.waited:
-        # The call began before some of the claims were heard.
-        return
-    knowledge.behind_since.pop(table, None)
     for claimant in knowledge.claimants.values():
         claim = _get_claim(claimant.view, table)
-        if claim > event.read_up_to and claim != claimant.refuted.get(table):
+        is_older = claimant.claimed_at.get(table, event.now) < event.asked_at
+        is_false = claim > event.read_up_to and is_older
+        if is_false and claim != claimant.refuted.get(table):
             _distrust(state, claimant, table, claim, event.now)
 
 
 def handle_store_view_received(state: GatewayState, event: StoreViewReceived) -> None:
     """Record what a peer has read, and renew the calls after an outage."""
     view = event.view
-    if view.host == state.location.host:
+    if view.host not in state.peers:
         return
     knowledge = state.store_knowledge
     claimant = knowledge.claimants.get(view.host)
     if claimant is None:
         claimant = knowledge.claimants[view.host] = Claimant(evolve(view, outages=0))
     previous, claimant.view = claimant.view, view
+    for table in StoreTable:
+        claim = _get_claim(view, table)
+        if claim != _get_claim(previous, table) or table not in claimant.claimed_at:
+            claimant.claimed_at[table] = event.now
     outages_before = previous.outages if previous.incarnation == view.incarnation else 0
     is_monitor = find_monitor(state, event.now) == view.host
     if view.outages > outages_before and is_monitor:
@@ -169,11 +170,6 @@
         _send_view(state, event.now)
 
 
-def handle_stop_requested(state: GatewayState, event: StopRequested) -> None:
-    """Forget the claims: a host that stops needs nothing newer."""
-    state.store_knowledge.claimants.clear()
-
-
 def record_outage_end(state: GatewayState, now: int) -> None:
     """Renew the calls after an outage; the monitor tells all hosts to do the same."""
     knowledge = state.store_knowledge
@@ -247,7 +243,7 @@
     state.perform(SendStoreView(view, addresses))
 
 
-def _pick_one_per_region(peers: list, own_region: str) -> list:
+def _pick_one_per_region(peers: list[Peer], own_region: str) -> list[Peer]:
     """Return a responsive host of each other region, which tells the others there."""
     picked = {}
     for peer in peers:
@@ -266,6 +262,5 @@
 EVENT_HANDLERS: dict[type[GatewayEvent], object] = {
     TableRead: handle_table_read,
     StoreViewReceived: handle_store_view_received,
-    StopRequested: handle_stop_requested,
     Ticked: handle_tick,
 }
