--- a/tests/daemon/gateway/test_logs.py
+++ b/tests/daemon/gateway/test_logs.py
@@ -11,7 +11,9 @@
 )
 from almondgap_daemon.gateway.logs import MAX_BUFFERED_BYTES, LineWriter, ReportLog
 
-ANSWERED = RequestAnswered("r1", "one", "shop", True, "t1", 200, 12, 1)
+ANSWERED = RequestAnswered(
+    "r1", "one", "shop", True, "t1", 200, 12, 10, False, 0, False, 1
+)
 
 
 class LogPipe:
