Spread a part of each region's requests over all regions

Cause: the plan kept too much at home where load is greatest.

Change: 0.4 of the requests follow the room of all regions, 0.6 the plan.

--- a/packages/almondgap-core/almondgap_core/gateway/region_plan.py
+++ b/packages/almondgap-core/almondgap_core/gateway/region_plan.py
@@ -3,8 +3,10 @@
 Handles regions of unequal room, each with callers of its own objects: an object that is
 served in the region of its callers crosses no link between regions. Each region keeps
 as much of its demand as its targets can take; what is left over goes to regions with
-room to spare. The plan depends only on which targets there are, so that all hosts of a
-region compute the same one and a surge of callers moves no object.
+room to spare. A part of each region's requests is spread by room all the same, since
+demand moves between regions faster than objects should. The plan depends only on which
+targets there are, so that all hosts of a region compute the same one and a surge of
+callers moves no object.
 """
 
 from __future__ import annotations
@@ -15,6 +17,10 @@
 #: service, to keep requests in the region.
 MAX_LOCAL_USE = 1.25
 
+#: Part of a region's requests that is spread over all regions by their room, so that a
+#: surge of its callers meets targets everywhere.
+SPREAD_PART = 0.4
+
 #: Share of a region that the plan gives no requests: its targets still come last in the
 #: order of an object.
 MIN_SHARE = 1e-6
@@ -53,7 +59,14 @@
     shares = {name: left_over * value for name, value in _normalise(spare).items()}
     if region in offered:
         shares[region] = kept if shares else 1.0
-    return {name: max(MIN_SHARE, value) for name, value in _normalise(shares).items()}
+    planned = _normalise(shares)
+    return {
+        name: max(
+            MIN_SHARE,
+            (1 - SPREAD_PART) * planned.get(name, 0.0) + SPREAD_PART * offered[name],
+        )
+        for name in offered
+    }
 
 
 def _normalise(values: Mapping[str, float]) -> dict[str, float]:
