Count a request ended by an unexpected error as load no longer

Cause, found on reading the diff: a request that was at a target when a step failed was refused and forgotten, but stayed in the target's count of requests in progress for good, so the target looked loaded.

Change: the attempt is stopped waiting for, not cancelled: the effect that sent it may have been dropped, and cancelling would then close a connection that another request uses. The new test fails on the former code.

--- a/packages/almondgap-core/almondgap_core/gateway/calls.py
+++ b/packages/almondgap-core/almondgap_core/gateway/calls.py
@@ -164,7 +164,7 @@
     call = state.calls.pop(event.call, None)
     if call is None:
         return
-    _stop_attempt(state, call, cancel=call.route.idempotent)
+    stop_attempt(state, call, cancel=call.route.idempotent)
     took = (event.now - call.arrived_at) // MICROS_PER_MILLI
     cancelled = bool(call.attempt and call.route.idempotent)
     state.report(CallerGone(call.request_id, call.target, cancelled, took))
@@ -178,12 +178,26 @@
     if call.attempt:
         record_timeout(state, call, event.now)
         call.may_have_run = True
-        _stop_attempt(state, call, cancel=True)
+        stop_attempt(state, call, cancel=True)
         call.attempt = 0
     detail = "no answer from the target before the request expired"
     refuse_call(state, call, event.now, 504, Reason.DEADLINE_PASSED, detail)
 
 
+def stop_attempt(state: GatewayState, call: Call, cancel: bool) -> None:
+    """Stop waiting for the attempt in flight, if there is one.
+
+    :param cancel: whether the target is to stop as well.
+    """
+    if not call.attempt:
+        return
+    target = state.targets.get(call.target)
+    if target is not None:
+        target.in_flight = max(0, target.in_flight - 1)
+    effect = Cancel if cancel else Abandon
+    state.perform(effect(call.number, call.attempt))
+
+
 def _place_admitted(state: GatewayState, call: Call, now: int) -> None:
     _credit_retry_budget(state, call)
     place_call(state, call, now)
@@ -282,16 +296,6 @@
     return call.expires_at - now > needed
 
 
-def _stop_attempt(state: GatewayState, call: Call, cancel: bool) -> None:
-    if not call.attempt:
-        return
-    target = state.targets.get(call.target)
-    if target is not None:
-        target.in_flight = max(0, target.in_flight - 1)
-    effect = Cancel if cancel else Abandon
-    state.perform(effect(call.number, call.attempt))
-
-
 def _credit_retry_budget(state: GatewayState, call: Call) -> None:
     budget = state.retry_budgets.setdefault(call.service, RetryBudget())
     bounds = state.bounds
--- a/packages/almondgap-core/almondgap_core/gateway/reducer.py
+++ b/packages/almondgap-core/almondgap_core/gateway/reducer.py
@@ -55,6 +55,8 @@
     state.effects = []
     call = state.calls.get(number)
     if call is not None:
+        # The attempt may never have been sent, so there is nothing safe to cancel.
+        calls.stop_attempt(state, call, cancel=False)
         # The effects that were dropped may include the one that sent it.
         call.may_have_run = bool(call.sent_to)
         detail = "unexpected error in this host"
--- a/tests/core/gateway/test_internal_errors.py
+++ b/tests/core/gateway/test_internal_errors.py
@@ -32,6 +32,12 @@
         refusal = next(each.refusal for each in effects if isinstance(each, Refuse))
         self.assertEqual((refusal.status, refusal.verdict), (502, Verdict.MAY_HAVE_RUN))
 
+    def test_request_that_was_sent_no_longer_counts_as_load(self):
+        harness = GatewayHarness.build((announce("t1"),))
+        harness.call()
+        fail_call(harness.state, harness.number)
+        self.assertEqual(harness.state.targets["t1"].in_flight, 0)
+
     def test_error_outside_of_a_request_changes_nothing(self):
         harness = GatewayHarness.build((announce("t1"),))
         harness.call()
