--- a/tests/daemon/gateway/test_watcher.py
+++ b/tests/daemon/gateway/test_watcher.py
@@ -28,6 +28,12 @@
     def start(self, **failure_domains: str) -> Followers:
         return Followers.start(**(failure_domains or FLEET))
 
+    def pass_silence(self, followers: Followers, length_s: float = 4.4) -> None:
+        """Let the store be silent for all hosts for some time."""
+        followers.store.silence(*FLEET)
+        followers.run(length_s)
+        followers.store.silent.clear()
+
     def assert_in_force(self, followers: Followers, version: int) -> None:
         expected = dict.fromkeys(followers.hosts, version)
         self.assertEqual(followers.list_versions(), expected)
@@ -35,9 +41,7 @@
     def test_change_before_the_silence(self):
         followers = self.start()
         followers.configure(2)
-        followers.store.silence(*FLEET)
-        followers.run(4.4)
-        followers.store.silent.clear()
+        self.pass_silence(followers)
         followers.run(RETURN_S)
         self.assert_in_force(followers, 2)
 
@@ -56,18 +60,14 @@
 
     def test_change_just_after_the_return(self):
         followers = self.start()
-        followers.store.silence(*FLEET)
-        followers.run(4.4)
-        followers.store.silent.clear()
+        self.pass_silence(followers)
         followers.configure(2)
         followers.run(RETURN_S)
         self.assert_in_force(followers, 2)
 
     def test_change_long_after_the_return(self):
         followers = self.start()
-        followers.store.silence(*FLEET)
-        followers.run(4.4)
-        followers.store.silent.clear()
+        self.pass_silence(followers)
         followers.run(5.0)
         followers.configure(2)
         followers.run(0.1)
