Tell callers to retry within their goal when targets reject with slots free

Change: such a caller is told 15 to 30 ms as long as an attempt after that can still meet the goal; after rejections by full targets, and when the goal is out of reach, the delay stays. The caller's own retry is a new request, so the retry budget is not touched.

--- a/packages/almondgap-core/almondgap_core/gateway/calls.py
+++ b/packages/almondgap-core/almondgap_core/gateway/calls.py
@@ -34,7 +34,12 @@
 )
 from almondgap_core.gateway.overload import check_overload
 from almondgap_core.gateway.placement import choose_target
-from almondgap_core.gateway.refusals import refuse_arrival, refuse_call, send_refusal
+from almondgap_core.gateway.refusals import (
+    plan_retry,
+    refuse_arrival,
+    refuse_call,
+    send_refusal,
+)
 from almondgap_core.gateway.reports import (
     AttemptLost,
     CallerGone,
@@ -268,8 +273,11 @@
     if safe and _may_retry(state, call, now):
         _retry(state, call, now, failure)
         return
-    status = 502 if call.may_have_run else 503
-    refuse_call(state, call, now, status, Reason.TARGET_FAILED, failure)
+    if call.may_have_run:
+        refuse_call(state, call, now, 502, Reason.TARGET_FAILED, failure)
+        return
+    retry_after = plan_retry(state, call, now)
+    refuse_call(state, call, now, 503, Reason.TARGET_FAILED, failure, retry_after)
 
 
 def _may_retry(state: GatewayState, call: Call, now: int) -> bool:
--- a/packages/almondgap-core/almondgap_core/gateway/refusals.py
+++ b/packages/almondgap-core/almondgap_core/gateway/refusals.py
@@ -1,9 +1,16 @@
-"""Answers that this host gives on behalf of a target, and their reports."""
+"""Answers that this host gives on behalf of a target, and their reports.
+
+Handles targets that reject or lose single requests although they have slots free: the
+next attempt has as good a chance at once as later, and only one at once may still be
+answered within the latency goal. The caller is told to retry so soon as long as that is
+possible; other callers later, when what hinders them may be over.
+"""
 
 from __future__ import annotations
 
 from almondgap_core.gateway.effects import Refuse
 from almondgap_core.gateway.events import CallArrived
+from almondgap_core.gateway.placement import get_service_time
 from almondgap_core.gateway.reports import RequestRefused
 from almondgap_core.gateway.state import Call, GatewayState
 from almondgap_core.units import MICROS_PER_MILLI, millis
@@ -13,6 +20,10 @@
 #: added.
 RETRY_AFTER_US = millis(250)
 
+#: Retry delay of a caller that may still be answered within its goal; the same jitter
+#: rule holds.
+QUICK_RETRY_AFTER_US = millis(15)
+
 
 def refuse_call(
     state: GatewayState,
@@ -30,11 +41,22 @@
     elif verdict is Verdict.MAY_HAVE_RUN and status == 503:
         status = 502
     if status == 503 and retry_after is None:
-        retry_after = RETRY_AFTER_US + state.draw_random(RETRY_AFTER_US)
+        retry_after = _draw_delay(state, RETRY_AFTER_US)
     refusal = Refusal(status, reason, verdict, detail, retry_after)
     send_refusal(state, call, now, refusal)
 
 
+def plan_retry(state: GatewayState, call: Call, now: int) -> int:
+    """Return the retry delay after a target failed while others may succeed."""
+    target = state.targets.get(call.target)
+    is_full = target is not None and now < target.backoff_until
+    service_time = round(get_service_time(state, call.route).read(now))
+    answered_at = now + 2 * QUICK_RETRY_AFTER_US + service_time
+    if is_full or answered_at > call.arrived_at + call.route.goal:
+        return _draw_delay(state, RETRY_AFTER_US)
+    return _draw_delay(state, QUICK_RETRY_AFTER_US)
+
+
 def send_refusal(state: GatewayState, call: Call, now: int, refusal: Refusal) -> None:
     """End a request with an answer of this host."""
     del state.calls[call.number]
@@ -82,3 +104,7 @@
             state.version,
         )
     )
+
+
+def _draw_delay(state: GatewayState, minimum: int) -> int:
+    return minimum + state.draw_random(minimum)
