Let requests wait while a host that just started reads the store

Cause: after a restart of the whole fleet, hosts accept requests 25 to 100 ms before they know the configuration and the targets.

Change: in the first 250 ms of a host, requests wait until both tables were read, at most 500 of them; goal and time limit count from the arrival. If the store does not answer by then, they are refused as before. Ruled out: to accept connections only once the store was read, since the whole fleet would refuse connections for longer.

--- a/packages/almondgap-core/almondgap_core/gateway/calls.py
+++ b/packages/almondgap-core/almondgap_core/gateway/calls.py
@@ -19,8 +19,10 @@
     CallArrived,
     CallerLeft,
     CallExpired,
+    ConfigurationRead,
     Failure,
     GatewayEvent,
+    TableRead,
     TargetAnswered,
     TokensGranted,
     TokensRequested,
@@ -48,6 +50,7 @@
     RetryDenied,
 )
 from almondgap_core.gateway.retry_budget import RetryBudget
+from almondgap_core.gateway.startup import hold_arrival, release_arrivals
 from almondgap_core.gateway.state import Call, GatewayState
 from almondgap_core.gateway.token_requests import (
     handle_timeout,
@@ -75,21 +78,34 @@
 
 def handle_call_arrived(state: GatewayState, event: CallArrived) -> None:
     """Admit and place a request, or refuse it immediately."""
+    if not hold_arrival(state, event):
+        _admit(state, event, event.now)
+
+
+def handle_store_read(
+    state: GatewayState, event: ConfigurationRead | TableRead
+) -> None:
+    """Admit the requests that arrived before the store was read."""
+    for arrival in release_arrivals(state):
+        _admit(state, arrival, event.now)
+
+
+def _admit(state: GatewayState, event: CallArrived, now: int) -> None:
     admitted = check_call(state, event)
     if isinstance(admitted, Refusal):
         refuse_arrival(state, event, admitted)
         return
     call = admitted
     state.calls[call.number] = call
-    state.perform(StartExpiryTimer(call.number, call.expires_at - event.now))
+    state.perform(StartExpiryTimer(call.number, max(0, call.expires_at - now)))
     if call.account is not None:
         bucket = get_token_bucket(state, call.account)
-        bucket.demand.count(event.now)
-    refusal = take_token(state, call, event.now)
+        bucket.demand.count(now)
+    refusal = take_token(state, call, now)
     if refusal is None:
-        _place_admitted(state, call, event.now)
-    elif not request_tokens(state, call, refusal, event.now):
-        send_refusal(state, call, event.now, refusal)
+        _place_admitted(state, call, now)
+    elif not request_tokens(state, call, refusal, now):
+        send_refusal(state, call, now, refusal)
 
 
 def handle_tokens_granted(state: GatewayState, event: TokensGranted) -> None:
@@ -166,6 +182,7 @@
 
 def handle_caller_left(state: GatewayState, event: CallerLeft) -> None:
     """Cancel work that nobody waits for; a request that runs only once may finish."""
+    state.early_arrivals.pop(event.call, None)
     call = state.calls.pop(event.call, None)
     if call is None:
         return
@@ -177,6 +194,10 @@
 
 def handle_call_expired(state: GatewayState, event: CallExpired) -> None:
     """Refuse a request whose time limit was reached."""
+    arrival = state.early_arrivals.pop(event.call, None)
+    if arrival is not None:
+        _admit(state, arrival, event.now)
+        return
     call = state.calls.get(event.call)
     if call is None:
         return
@@ -333,4 +354,6 @@
     TokensGranted: handle_tokens_granted,
     TokensTimedOut: handle_tokens_timed_out,
     CallExpired: handle_call_expired,
+    ConfigurationRead: handle_store_read,
+    TableRead: handle_store_read,
 }
--- a/packages/almondgap-core/almondgap_core/gateway/state.py
+++ b/packages/almondgap-core/almondgap_core/gateway/state.py
@@ -13,6 +13,7 @@
 
 from almondgap_core.gateway.configuration import Account, Configuration, Route
 from almondgap_core.gateway.effects import GatewayEffect, Log
+from almondgap_core.gateway.events import CallArrived
 from almondgap_core.gateway.heartbeats import Heartbeat, HostLocation
 from almondgap_core.gateway.reports import Report
 from almondgap_core.gateway.retry_budget import RetryBudget
@@ -119,6 +120,8 @@
 
     :ivar regions: region of each failure domain.
     :ivar seed: state of the pseudo-random generator.
+    :ivar started_at: when the host started, in microseconds.
+    :ivar early_arrivals: requests that arrived before the store was read, by number.
     :ivar serving_since: when the first configuration came into force, in microseconds.
     :ivar evacuated: failure domains that must receive no requests.
     :ivar targets_epoch: changes whenever the set of usable targets does.
@@ -151,6 +154,8 @@
     seed: int = 1
     stopping: bool = False
     configuration: Configuration | None = None
+    started_at: int = 0
+    early_arrivals: dict[int, CallArrived] = Factory(dict)
     serving_since: int = 0
     evacuated: frozenset[str] = frozenset()
     targets: dict[str, Target] = Factory(dict)
--- a/packages/almondgap-daemon/almondgap_daemon/gateway/process.py
+++ b/packages/almondgap-daemon/almondgap_daemon/gateway/process.py
@@ -132,6 +132,7 @@
             regions=cfg.regions,
             bounds=cfg.bounds,
             seed=random.getrandbits(63),
+            started_at=round(reactor.seconds() * MICROS_PER_SECOND),
         )
         runtime = GatewayRuntime(
             reactor, state, log, GatewayMetrics(), send_message=None, read_table=None
--- a/packages/almondgap-daemon/almondgap_daemon/gateway/runtime.py
+++ b/packages/almondgap-daemon/almondgap_daemon/gateway/runtime.py
@@ -268,6 +268,8 @@
 
     def _expire(self, effect: StartExpiryTimer) -> None:
         pending = self._pending[effect.call]
+        if pending.timer is not None and pending.timer.active():
+            pending.timer.cancel()
         pending.timer = self.reactor.callLater(
             effect.delay / MICROS_PER_SECOND, self._on_deadline, effect.call
         )
