Limit callers' connections, and blame no target for a lack of sockets

Without a descriptor no connection to a target could be opened, each such failure marked the target as down, and two hosts had marked 39 of their targets within 2.5 s. They refused everything with no-target and answered 756 callers not at all, until 25 s.

Change: callers' connections take at most 0.6 of the descriptors that the settings name (the process's own limit without that setting). From 0.9 of that on, connections close after their response; at the limit the one idle for longest makes room, and if all are busy the new one is ended at once. A connection that fails for lack of a socket ends the request as not run, and says nothing about the target. A planned stop counts accepted connections, since their number no longer grows at the limit.

--- a/packages/almondgap-core/almondgap_core/gateway/attempts.py
+++ b/packages/almondgap-core/almondgap_core/gateway/attempts.py
@@ -76,6 +76,9 @@
     if target is None:
         return
     target.in_flight = max(0, target.in_flight - 1)
+    if event.failure is Failure.NO_SOCKET:
+        # It says nothing about the target.
+        return
     record_outcome(state, target, 1.0, event.now)
     if event.failure is Failure.NOT_CONNECTED:
         mark_down(state, target, event.now, "connection failed")
--- a/packages/almondgap-core/almondgap_core/gateway/calls.py
+++ b/packages/almondgap-core/almondgap_core/gateway/calls.py
@@ -169,6 +169,9 @@
     call.attempt = 0
     failure = event.failure.value
     _report_attempt_lost(state, call, event.attempt, failure, event.verdict, now)
+    if event.failure is Failure.NO_SOCKET:
+        refuse_call(state, call, now, 503, Reason.NO_CAPACITY, "no socket left")
+        return
     if event.verdict is not Verdict.NOT_RUN:
         call.may_have_run = True
     elif event.failure is Failure.NOT_CONNECTED:
--- a/packages/almondgap-core/almondgap_core/gateway/events.py
+++ b/packages/almondgap-core/almondgap_core/gateway/events.py
@@ -82,6 +82,7 @@
     """How an attempt failed."""
 
     NOT_CONNECTED = "not connected"
+    NO_SOCKET = "no socket left"
     CONNECTION_LOST = "broken off"
     MALFORMED = "garbled"
 
--- a/packages/almondgap-daemon/almondgap_daemon/gateway/process.py
+++ b/packages/almondgap-daemon/almondgap_daemon/gateway/process.py
@@ -48,6 +48,10 @@
 #: Length of the listen queue, in connections.
 LISTEN_BACKLOG = 512
 
+#: Share of the descriptors that callers' connections may take; the rest is for targets,
+#: other hosts, the store and files.
+CALLER_DESCRIPTORS_FRACTION = 0.6
+
 #: Share of the grace period for which a stopping host still accepts requests, since
 #: callers cache the answers of the directory for some seconds.
 DRAIN_ACCEPT_RATIO = 0.58
@@ -155,6 +159,7 @@
         runtime.send_message = self.messages.send
         runtime.read_table = self.watcher.read_table
         self.callers = ServerFactory(self.reactor, runtime, self._log_ignored)
+        self.callers.connections.limit = _count_callers(self.cfg)
         self._settings_mtime = _read_mtime(self.path)
 
     def start(self) -> None:
@@ -220,6 +225,7 @@
             directory=self.cfg.directory,
             store=self.cfg.store,
         )
+        self.callers.connections.limit = _count_callers(cfg)
         self.runtime.state.bounds = cfg.bounds
         self.runtime.state.regions = cfg.regions
         self.log.lines_per_s = cfg.lines_per_s
@@ -253,8 +259,8 @@
             return
         # Closing the port resets the connections that wait to be accepted.
         before = -1
-        while len(self.callers.connections) > before:
-            before = len(self.callers.connections)
+        while self.callers.accepted > before:
+            before = self.callers.accepted
             port.doRead()
         port.stopListening()
 
@@ -337,6 +343,11 @@
         self.log.write(event, cause=failure.getErrorMessage())
 
 
+def _count_callers(cfg: HostSettings) -> int:
+    """Return how many connections of callers may be open at a time."""
+    return max(1, int(cfg.descriptors * CALLER_DESCRIPTORS_FRACTION))
+
+
 def _make_server_limits(limits: CallerLimits) -> ServerLimits:
     return ServerLimits(
         limits.header_bytes,
--- a/packages/almondgap-daemon/almondgap_daemon/gateway/target_client.py
+++ b/packages/almondgap-daemon/almondgap_daemon/gateway/target_client.py
@@ -20,6 +20,7 @@
 from almondgap_daemon.http.pool import MAX_IDLE_S, ConnectionPool
 from almondgap_daemon.http.response import (
     InvalidResponse,
+    NoSocket,
     NotConnected,
     RawHeaders,
     Response,
@@ -91,6 +92,9 @@
                 send.target, send.address, max_idle_s
             )
             conn = yield attempt.connecting
+        except NoSocket:
+            self._report_failure(send, Failure.NO_SOCKET, Verdict.NOT_RUN)
+            return
         except (NotConnected, CancelledError):
             if not attempt.cancelled:
                 self._report_failure(send, Failure.NOT_CONNECTED, Verdict.NOT_RUN)
--- a/packages/almondgap-daemon/almondgap_daemon/http/pool.py
+++ b/packages/almondgap-daemon/almondgap_daemon/http/pool.py
@@ -5,11 +5,12 @@
 from attrs import Factory, define
 from twisted.internet.defer import Deferred, succeed
 from twisted.internet.endpoints import TCP4ClientEndpoint
+from twisted.internet.error import ConnectBindError
 from twisted.internet.protocol import Factory as ProtocolFactory
 
 from almondgap_daemon.http.buffers import BufferLedger
 from almondgap_daemon.http.connection import ClientConnection
-from almondgap_daemon.http.response import NotConnected
+from almondgap_daemon.http.response import NoSocket, NotConnected
 
 #: Time-out of connection attempts, in seconds: above the longest round trip, and below
 #: the time after which the kernel retransmits a lost SYN.
@@ -55,6 +56,7 @@
 
         :param max_idle_s: limit of the idle time of a reused connection, in seconds.
         :raises NotConnected: the connection could not be established.
+        :raises NoSocket: this host has no socket left.
         """
         idle = self._idle.get(server)
         now = self.reactor.seconds()
@@ -129,4 +131,6 @@
 
 
 def _raise_not_connected(failure, address: str):
-    raise NotConnected(f"{address}: {failure.getErrorMessage()}") from failure.value
+    # Twisted reports a socket that could not be created or bound in this way.
+    kind = NoSocket if failure.check(ConnectBindError) else NotConnected
+    raise kind(f"{address}: {failure.getErrorMessage()}") from failure.value
--- a/packages/almondgap-daemon/almondgap_daemon/http/response.py
+++ b/packages/almondgap-daemon/almondgap_daemon/http/response.py
@@ -45,6 +45,10 @@
     """The connection could not be established; nothing was sent."""
 
 
+class NoSocket(NotConnected):
+    """This host has no socket left for a connection."""
+
+
 class IncompleteResponse(AlmondgapError):
     """The response was cut short or never arrived; the request may have run."""
 
--- a/packages/almondgap-daemon/almondgap_daemon/http/server.py
+++ b/packages/almondgap-daemon/almondgap_daemon/http/server.py
@@ -16,6 +16,7 @@
 from twisted.internet.protocol import Protocol
 
 from almondgap_daemon.http.connection import set_socket_timeouts
+from almondgap_daemon.http.connection_table import ConnectionTable
 from almondgap_daemon.http.response import RawHeaders
 
 #: Time after which a caller that connected is taken to send no request, in seconds.
@@ -97,12 +98,17 @@
         self._http = h11.Connection(
             h11.SERVER, max_incomplete_event_size=limits.header_bytes
         )
-        self.factory.connections.add(self)
+        if not self.factory.connections.add(self):
+            self.factory.on_error("connection closed: too many are busy")
+            self._open = False
+            self.transport.abortConnection()
+            return
         set_socket_timeouts(self.transport)
         self._set_timeout(limits.idle_timeout_s)
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Process received data, unless a request awaits its response."""
+        self.factory.connections.touch(self)
         self._http.receive_data(data)
         if self._exchange is None:
             self._read_events()
@@ -133,7 +139,8 @@
         self._served = True
         if not self._open:
             return
-        if self.factory.closing:
+        self.factory.connections.touch(self)
+        if self.factory.closing or self.factory.connections.is_crowded:
             headers = [*headers, (b"Connection", b"close")]
         try:
             data = self._http.send(
@@ -264,6 +271,8 @@
 
     :ivar on_error: called with a description of each protocol violation.
     :ivar closing: whether connections close after the current response.
+    :ivar connections: the open connections.
+    :ivar accepted: number of connections accepted so far.
     """
 
     reactor: object
@@ -271,11 +280,13 @@
     on_error: Callable[[str], None]
     limits: ServerLimits = Factory(ServerLimits)
     closing: bool = False
-    connections: set[ServerConnection] = Factory(set)
+    connections: ConnectionTable = Factory(ConnectionTable)
+    accepted: int = 0
     noisy = False
 
     def buildProtocol(self, addr) -> ServerConnection:  # noqa: N802
         """Return the protocol of a new connection."""
+        self.accepted += 1
         return ServerConnection(self)
 
     @property
@@ -285,5 +296,5 @@
 
     def close_idle(self) -> None:
         """Close all connections that are not busy."""
-        for conn in list(self.connections):
+        for conn in self.connections:
             conn.close_idle()
--- a/packages/almondgap-daemon/almondgap_daemon/platform/settings.py
+++ b/packages/almondgap-daemon/almondgap_daemon/platform/settings.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import resource
 from pathlib import Path
 from typing import Any
 
@@ -31,6 +32,7 @@
     :ivar regions: region of each failure domain.
     :ivar grace: time from the stop signal until the process is killed, in seconds.
     :ivar answer_ttl: time for which callers cache a directory answer, in seconds.
+    :ivar descriptors: number of descriptors that the process may use.
     :ivar lines_per_s: limit of log lines about requests, per second.
     """
 
@@ -42,6 +44,7 @@
     bounds: Bounds
     grace: float
     answer_ttl: float
+    descriptors: int
     lines_per_s: int
 
     @classmethod
@@ -100,6 +103,7 @@
             bounds=bounds,
             grace=limits.number("grace_s"),
             answer_ttl=min(top.number("answer_ttl_s"), limits.number("most_ttl_s")),
+            descriptors=int(limits.number("descriptors", _find_descriptor_limit())),
             lines_per_s=int(top.number("log_lines_per_s")),
         )
 
@@ -126,7 +130,9 @@
             raise ConfigurationError(f"{self._name(key)}: not a string")
         return value
 
-    def number(self, key: str) -> float:
+    def number(self, key: str, default: float | None = None) -> float:
+        if default is not None and key not in self.values:
+            return default
         value = self._get(key)
         if isinstance(value, bool) or not isinstance(value, int | float) or value < 0:
             raise ConfigurationError(f"{self._name(key)}: not a number of 0 or more")
@@ -159,3 +165,7 @@
 
     def _name(self, key: str) -> str:
         return f"{self.name}.{key}" if self.name else key
+
+
+def _find_descriptor_limit() -> int:
+    return resource.getrlimit(resource.RLIMIT_NOFILE)[0]
--- a/packages/almondgap-testkit/almondgap_testkit/gateways/site.py
+++ b/packages/almondgap-testkit/almondgap_testkit/gateways/site.py
@@ -80,12 +80,14 @@
 
     :ivar net: prefix of the site's addresses, so that sites do not collide.
     :ivar guard: listening socket that reserves the prefix.
+    :ivar descriptors: number of descriptors that hosts are told they may use.
     """
 
     net: str
     guard: socket.socket
     folder: Path
     processes: dict[str, subprocess.Popen] = Factory(dict)
+    descriptors: int = 4_096
 
     @classmethod
     def start(
@@ -174,6 +176,7 @@
                 "account_window_s": 5,
                 "account_over_ratio": 0.1,
                 "account_over": 20,
+                "descriptors": self.descriptors,
                 "grace_s": 3,
                 "most_ttl_s": 5,
                 "return_s": 2,
--- a/tests/core/gateway/test_calls.py
+++ b/tests/core/gateway/test_calls.py
@@ -89,6 +89,18 @@
         self.assertEqual(harness.find(Deliver), [])
 
 
+class NoSocketTests(TestCase):
+    def test_target_is_not_blamed_when_this_host_has_no_sockets(self):
+        harness, send = send_request(READS)
+        feed_failure(harness, send, Failure.NO_SOCKET, Verdict.NOT_RUN)
+        refusal = harness.find(Refuse)[0].refusal
+        self.assertEqual((refusal.status, refusal.verdict), (503, Verdict.NOT_RUN))
+        target = harness.state.targets[send.target]
+        self.assertIsNone(target.down_since)
+        self.assertEqual(target.in_flight, 0)
+        self.assertEqual(target.failure_share.read(harness.now), 0)
+
+
 class RetryTests(TestCase):
     def test_order_that_may_have_run_is_never_sent_again(self):
         for failure in (Failure.CONNECTION_LOST, Failure.MALFORMED):
--- a/tests/daemon/http/test_server.py
+++ b/tests/daemon/http/test_server.py
@@ -153,3 +153,22 @@
         served.respond()
         served.factory.close_idle()
         self.assertEqual(served.transport.ended, "closed")
+
+
+class CrowdedServerTests(TestCase):
+    def test_connection_closes_after_its_response(self):
+        served = ServedConnection()
+        served.factory.connections.limit = 1
+        served.transport.receive(GET)
+        self.assertIn(b"Connection: close", served.respond())
+        self.assertEqual(served.transport.ended, "closed")
+
+    def test_new_connection_is_ended_at_once_while_all_are_busy(self):
+        served = ServedConnection()
+        served.factory.connections.limit = 1
+        served.transport.receive(GET)
+        late = PipeTransport.connect(served.factory.buildProtocol(None))
+        self.assertEqual(late.ended, "aborted")
+        late.end(clean=False)
+        self.assertEqual(len(served.factory.connections), 1)
+        self.assertTrue(served.respond().endswith(b"ok"))
