--- a/packages/almondgap-core/almondgap_core/gateway/calls.py
+++ b/packages/almondgap-core/almondgap_core/gateway/calls.py
@@ -90,24 +90,6 @@
         _admit(state, arrival, event.now)
 
 
-def _admit(state: GatewayState, event: CallArrived, now: int) -> None:
-    admitted = check_call(state, event)
-    if isinstance(admitted, Refusal):
-        refuse_arrival(state, event, admitted)
-        return
-    call = admitted
-    state.calls[call.number] = call
-    state.perform(StartExpiryTimer(call.number, max(0, call.expires_at - now)))
-    if call.account is not None:
-        bucket = get_token_bucket(state, call.account)
-        bucket.demand.count(now)
-    refusal = take_token(state, call, now)
-    if refusal is None:
-        _place_admitted(state, call, now)
-    elif not request_tokens(state, call, refusal, now):
-        send_refusal(state, call, now, refusal)
-
-
 def handle_tokens_granted(state: GatewayState, event: TokensGranted) -> None:
     """Resume requests that waited for tokens."""
     _finish_waiting(state, receive_tokens(state, event), event.now)
@@ -227,6 +209,24 @@
     state.perform(effect(call.number, call.attempt))
 
 
+def _admit(state: GatewayState, event: CallArrived, now: int) -> None:
+    admitted = check_call(state, event)
+    if isinstance(admitted, Refusal):
+        refuse_arrival(state, event, admitted)
+        return
+    call = admitted
+    state.calls[call.number] = call
+    state.perform(StartExpiryTimer(call.number, max(0, call.expires_at - now)))
+    if call.account is not None:
+        bucket = get_token_bucket(state, call.account)
+        bucket.demand.count(now)
+    refusal = take_token(state, call, now)
+    if refusal is None:
+        _place_admitted(state, call, now)
+    elif not request_tokens(state, call, refusal, now):
+        send_refusal(state, call, now, refusal)
+
+
 def _place_admitted(state: GatewayState, call: Call, now: int) -> None:
     _credit_retry_budget(state, call)
     place_call(state, call, now)
