--- a/packages/almondgap-daemon/almondgap_daemon/gateway/watcher.py
+++ b/packages/almondgap-daemon/almondgap_daemon/gateway/watcher.py
@@ -62,8 +62,8 @@
     """Watches one table: reads a snapshot, then long-polls for changes.
 
     A store that hangs never answers the calls it received meanwhile, even after it
-    recovers. A long poll is therefore sent only right after a successful call;
-    otherwise a call that returns at once goes first.
+    recovers. A long poll is therefore sent only after a successful call; otherwise a
+    call that returns at once goes first.
 
     :ivar on_rows: called with the rows that were read, and whether they are all rows
         of the table.
