--- a/tests/daemon/gateway/test_watcher.py
+++ b/tests/daemon/gateway/test_watcher.py
@@ -93,15 +93,19 @@
         followers.run(CHANGE_S)
         self.assert_in_force(followers, 2)
 
-    def test_only_host_of_the_fleet(self):
-        followers = self.start(h1="a1")
-        followers.store.silence("h1")
+    def assert_found_after_silence(self, followers: Followers, *hosts: str) -> None:
+        """Assert that a change during a silence of 4.4 s is in force after it."""
+        followers.store.silence(*hosts)
         followers.run(4.4)
         followers.configure(2)
         followers.store.silent.clear()
         followers.run(RETURN_S)
         self.assert_in_force(followers, 2)
 
+    def test_only_host_of_the_fleet(self):
+        followers = self.start(h1="a1")
+        self.assert_found_after_silence(followers, "h1")
+
     def test_monitor_dies_as_the_store_falls_silent(self):
         followers = self.start()
         monitor = find_monitor(followers.hosts["h1"].state, followers.now())
@@ -121,12 +125,7 @@
         followers = self.start()
         followers.muted |= set(FLEET)
         followers.run(10.0)
-        followers.store.silence(*FLEET)
-        followers.run(4.4)
-        followers.configure(2)
-        followers.store.silent.clear()
-        followers.run(RETURN_S)
-        self.assert_in_force(followers, 2)
+        self.assert_found_after_silence(followers, *FLEET)
 
     def test_silence_that_begins_while_changes_are_gathered(self):
         followers = self.start()
