Log what targets say about their rate limit

In the incident the hosts' logs could not tell a limit that no host reads from one that each host keeps for itself, since nothing of it was written. A new event, 'target limit changed', names the target, the rate and the one before. A value that is no decimal number is neither a limit nor its end. Decisions are as before.

--- a/packages/almondgap-core/almondgap_core/gateway/events.py
+++ b/packages/almondgap-core/almondgap_core/gateway/events.py
@@ -67,6 +67,8 @@
     :ivar sealed: whether the answer carries the seal that only targets set.
     :ivar load: running and queued requests that the target reported, None if it did
         not.
+    :ivar rate_limit: requests per second that the target takes from all hosts together,
+        infinity if it named no limit, None if unknown.
     """
 
     call: int
@@ -76,6 +78,7 @@
     misdirected: bool
     sealed: bool
     load: tuple[int, int] | None = None
+    rate_limit: float | None = None
 
 
 class Failure(Enum):
--- a/packages/almondgap-core/almondgap_core/gateway/health.py
+++ b/packages/almondgap-core/almondgap_core/gateway/health.py
@@ -24,6 +24,7 @@
 from almondgap_core.gateway.reports import TargetChanged
 from almondgap_core.gateway.state import Call, GatewayState
 from almondgap_core.gateway.target import Target
+from almondgap_core.gateway.target_limits import record_rate_limit
 from almondgap_core.units import millis, seconds
 
 #: Delay before the first probe of a target that is down, and maximum interval between
@@ -61,6 +62,8 @@
         target.record_load(*event.load, now)
     if event.misdirected:
         return
+    if event.rate_limit is not None:
+        record_rate_limit(state, target, event.rate_limit)
     if event.not_executed:
         if event.load is None or sum(event.load) >= target.announcement.slots:
             # It is full; one that rejects requests with slots free would do so later
--- a/packages/almondgap-core/almondgap_core/gateway/reports.py
+++ b/packages/almondgap-core/almondgap_core/gateway/reports.py
@@ -163,6 +163,20 @@
     cause: str
 
 
+@frozen
+class TargetLimitChanged(Report):
+    """A target named another rate limit in its answers, or none any more.
+
+    :ivar rate: requests per second from all hosts together, None for no limit.
+    :ivar previous: the rate before, None for no limit.
+    """
+
+    target: str
+    service: str
+    rate: float | None
+    previous: float | None
+
+
 @frozen
 class ConfigurationChanged(Report):
     """Another version of the configuration is in force on this host."""
--- a/packages/almondgap-core/almondgap_core/gateway/target.py
+++ b/packages/almondgap-core/almondgap_core/gateway/target.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from math import inf
+
 from attrs import Factory, define, frozen
 
 from almondgap_core.units import seconds
@@ -133,6 +135,8 @@
     :ivar backoff_until: when it may receive requests again after it rejected one.
     :ivar warmup_until: when its warm-up ends.
     :ivar next_warmup_at: earliest time of the next request to it during warm-up.
+    :ivar rate_limit: requests per second that it takes from all hosts together,
+        infinity if it named no limit.
     :ivar recent_objects: objects that this host sent to it, with the time of the last
         request.
     """
@@ -151,6 +155,7 @@
     backoff_until: int = 0
     warmup_until: int = 0
     next_warmup_at: int = 0
+    rate_limit: float = inf
     recent_objects: dict[str, int] = Factory(dict)
 
     @property
@@ -190,4 +195,5 @@
         self.down_since = None
         self.failed_probes = 0
         self.backoff_until = 0
+        self.rate_limit = inf
         self.recent_objects.clear()
--- a/packages/almondgap-daemon/almondgap_daemon/gateway/target_client.py
+++ b/packages/almondgap-daemon/almondgap_daemon/gateway/target_client.py
@@ -177,4 +177,5 @@
         misdirected=misdirected,
         sealed=response.get(names.SEAL) is not None,
         load=names.parse_load(response.headers),
+        rate_limit=None if misdirected else names.parse_rate_limit(response.headers),
     )
--- a/packages/almondgap-daemon/almondgap_daemon/platform/headers.py
+++ b/packages/almondgap-daemon/almondgap_daemon/platform/headers.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import re
+from math import inf
+
 from attrs import frozen
 
 from almondgap_daemon.http.response import (
@@ -21,6 +24,7 @@
 LOAD = b"x-almondgap-server-load"
 TARGET = b"x-almondgap-instance-id"
 WARM_UP_LEFT = b"x-almondgap-cold-ms"
+RATE_LIMIT = b"server-limit"
 
 MISDIRECTED_STATUS = 421
 
@@ -34,6 +38,9 @@
 
 MICROS_PER_MILLI = 1_000
 
+#: A decimal number of requests per second.
+_RATE = re.compile(rb"\d{1,15}(\.\d{0,15})?|\.\d{1,15}")
+
 
 @frozen
 class CallerHeaders:
@@ -123,6 +130,18 @@
     return int(parts[0]), int(parts[1])
 
 
+def parse_rate_limit(headers: RawHeaders) -> float | None:
+    """Return the requests per second that a target takes from all hosts together.
+
+    :return: infinity if the target names no limit, None if the value is malformed.
+    """
+    value = find_header(headers, RATE_LIMIT)
+    if value is None:
+        return inf
+    value = value.strip()
+    return float(value) if _RATE.fullmatch(value) else None
+
+
 def parse_warm_up_left(headers: RawHeaders) -> int:
     """Return the remaining warm-up time of a target in microseconds, 0 if invalid."""
     value = (find_header(headers, WARM_UP_LEFT) or b"").strip()
--- a/tests/daemon/platform/test_headers.py
+++ b/tests/daemon/platform/test_headers.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+from math import inf
 from unittest import TestCase
 
 from almondgap_core.units import millis, seconds
@@ -8,6 +9,7 @@
     make_response_headers,
     parse_caller_headers,
     parse_load,
+    parse_rate_limit,
     parse_warm_up_left,
 )
 
@@ -87,3 +89,25 @@
         )
         self.assertEqual(parse_warm_up_left([(b"X-Almondgap-Cold-Ms", b"inf")]), 0)
         self.assertEqual(parse_warm_up_left([]), 0)
+
+    def test_malformed_rate_limits_are_neither_a_limit_nor_its_end(self):
+        for value in (
+            b"",
+            b"nan",
+            b"inf",
+            b"-1",
+            b"+1",
+            b"1_0",
+            b"1e3",
+            b"2,5",
+            b"9" * 99,
+        ):
+            self.assertIsNone(parse_rate_limit([(b"Server-Limit", value)]), value)
+        for value, rate in (
+            (b"2.5", 2.5),
+            (b" 0 ", 0.0),
+            (b"100", 100.0),
+            (b".5", 0.5),
+        ):
+            self.assertEqual(parse_rate_limit([(b"Server-Limit", value)]), rate)
+        self.assertEqual(parse_rate_limit([]), inf)
