Test that targets get no more than the rate they named, which fails

Reproduces the incident in virtual time: eight hosts of four failure domains, 150 requests a second, two of six targets name a limit after 5 s. From 3 s after that the bound of the users' rule is checked, one and a half times the limit in 4 s and 5 requests. The hosts log the limit and send as before, which is hypothesis 1 of the postmortem.

--- a/packages/almondgap-testkit/almondgap_testkit/gateways/simulation.py
+++ b/packages/almondgap-testkit/almondgap_testkit/gateways/simulation.py
@@ -9,6 +9,7 @@
 
 import random
 from collections import deque
+from math import inf
 
 from attrs import Factory, define, field
 
@@ -81,6 +82,9 @@
     :ivar miss_cost: service time of a cache miss relative to a hit.
     :ivar mode: ``well``, ``dead`` (refuses connections), ``silent`` (never answers),
         ``failing`` (answers 500), ``shedding`` (answers that it did not run).
+    :ivar rate_limit: requests per second that it names in its answers, infinity for
+        none, None for a malformed value.
+    :ivar arrivals: times of all requests that reached it, each with its host.
     :ivar runs: request ids that it started to process, with the time.
     :ivar cache_misses: number of objects that it had to fetch.
     """
@@ -91,9 +95,11 @@
     max_cached: int = MAX_CACHED_OBJECTS
     miss_cost: float = CACHE_MISS_COST
     mode: str = "well"
+    rate_limit: float | None = inf
     running: int = 0
     waiting: deque = Factory(deque)
     cached: dict[str, int] = Factory(dict)
+    arrivals: list[tuple[int, str]] = Factory(list)
     runs: list[tuple[int, str]] = Factory(list)
     cache_misses: int = 0
 
@@ -381,6 +387,7 @@
 
     def _probe(self, host: ModelHost, effect: Probe) -> None:
         target = self.targets[effect.target]
+        target.arrivals.append((self.clock.now, host.state.location.host))
         healthy = target.mode in ("well", "failing")
         self.clock.call_later(
             2 * ONE_WAY_DELAY_US,
@@ -404,6 +411,7 @@
         self, host: ModelHost, send: Send, target: ModelTarget, event: CallArrived
     ) -> None:
         slots = target.announcement.slots
+        target.arrivals.append((self.clock.now, host.state.location.host))
         if target.mode == "shedding" or len(target.waiting) >= target.queue_length:
             self._answer(host, send, target, 503, not_executed=True)
         elif target.running < slots:
@@ -438,7 +446,8 @@
         not_executed: bool,
     ) -> None:
         load = (target.running, len(target.waiting))
-        fields = (status, not_executed, False, not not_executed, load)
+        sealed = not not_executed
+        fields = (status, not_executed, False, sealed, load, target.rate_limit)
         self._deliver_result(host, send, TargetAnswered, *fields)
 
     def _deliver_result(self, host: ModelHost, send: Send, kind, *args) -> None:
