Share the rate limits that targets name over all hosts

Callers: a target in need that named 2.4 or 1.5 requests a second got 23 and 28 in 4 s (allowed 19 and 14), as many as before it asked. Cause: no host read the header; what targets ask of all hosts together was known to none of them. The logs show the same rate of each host before and after, and the failing test the same on the reducer. Ruled out: each host keeping the limit for itself (nothing read it), and both sides of a hand-over (no host stopped or started in the 4 s before).

Change: a few hosts in the target's region, found by rendezvous hashing over the members, share the limit; all others send nothing. Members are those of the client accounts' limits: a host that falls silent keeps its part for 15 s, since it may still send. Hosts tell each other what targets named with the age of the answer, beside their heartbeats and at once in the region, so the newest answer counts everywhere, also for the end of a limit, and messages lost or late do no harm. A target of which no host has heard for 5 s gets single requests, one host after another: so the end of a limit of zero is noticed. Retries, health checks and repeated connections count. Requests that find no room are refused at once as not run, and return at the rate that the targets take. An answer without a readable value, or without the header within a second of one with it, ends no limit.

The warm-up picks its host by the same order now, instead of by a copy of it.

Not taken: asking the holders for tokens, as for client accounts. It costs a round trip for each request to a target that others can stand in for.

--- a/packages/almondgap-core/almondgap_core/gateway/attempts.py
+++ b/packages/almondgap-core/almondgap_core/gateway/attempts.py
@@ -9,6 +9,7 @@
 from almondgap_core.gateway.placement import Choice
 from almondgap_core.gateway.reports import RequestPlaced
 from almondgap_core.gateway.state import Call, GatewayState
+from almondgap_core.gateway.target_limits import take_limit_token
 from almondgap_core.gateway.warmup import is_warming_up, schedule_next_warmup
 from almondgap_core.units import MICROS_PER_MILLI
 
@@ -36,6 +37,7 @@
         target.record_object(call.affinity_key, now)
     if is_warming_up(target, now):
         schedule_next_warmup(state, target, now)
+    take_limit_token(state, target, now)
     state.perform(
         Send(
             call.number,
--- a/packages/almondgap-core/almondgap_core/gateway/calls.py
+++ b/packages/almondgap-core/almondgap_core/gateway/calls.py
@@ -40,6 +40,7 @@
     plan_retry,
     refuse_arrival,
     refuse_call,
+    refuse_unplaced,
     send_refusal,
 )
 from almondgap_core.gateway.reports import (
@@ -104,9 +105,7 @@
     """Send a request to the best target, or refuse it if it cannot be served."""
     choice = choose_target(state, call, now)
     if choice is None:
-        refuse_call(
-            state, call, now, 503, Reason.NO_TARGET, "no usable target for the service"
-        )
+        refuse_unplaced(state, call, now)
         return
     refusal = check_overload(state, call, choice, now)
     if refusal is None:
--- a/packages/almondgap-core/almondgap_core/gateway/effects.py
+++ b/packages/almondgap-core/almondgap_core/gateway/effects.py
@@ -5,7 +5,7 @@
 from attrs import frozen
 
 from almondgap_core.gateway.events import StoreTable
-from almondgap_core.gateway.heartbeats import Heartbeat, StoreView
+from almondgap_core.gateway.heartbeats import Heartbeat, NamedLimits, StoreView
 from almondgap_core.gateway.reports import Report
 from almondgap_core.verdict import Refusal
 
@@ -116,6 +116,17 @@
     addresses: tuple[str, ...]
 
 
+@frozen
+class SendNamedLimits(GatewayEffect):
+    """Tell other hosts the rate limits that targets named.
+
+    :ivar addresses: peer addresses of these hosts.
+    """
+
+    named: NamedLimits
+    addresses: tuple[str, ...]
+
+
 @frozen
 class ReadTable(GatewayEffect):
     """Read the changes of a table at once, in place of a call that waits for them."""
--- a/packages/almondgap-core/almondgap_core/gateway/events.py
+++ b/packages/almondgap-core/almondgap_core/gateway/events.py
@@ -7,7 +7,7 @@
 from attrs import frozen
 
 from almondgap_core.gateway.configuration import Configuration
-from almondgap_core.gateway.heartbeats import Heartbeat, StoreView
+from almondgap_core.gateway.heartbeats import Heartbeat, NamedLimits, StoreView
 from almondgap_core.gateway.target import Announcement
 from almondgap_core.verdict import Verdict
 
@@ -109,11 +109,14 @@
 
     :ivar healthy: whether the target itself answered that it is healthy.
     :ivar warmup_left: remaining time of its warm-up.
+    :ivar rate_limit: requests per second that it takes from all hosts together, None if
+        it named no limit.
     """
 
     target: str
     healthy: bool
     warmup_left: int = 0
+    rate_limit: float | None = None
 
 
 @frozen
@@ -195,6 +198,13 @@
     view: StoreView
 
 
+@frozen
+class NamedLimitsReceived(GatewayEvent):
+    """Another host told which rate limits targets named."""
+
+    named: NamedLimits
+
+
 @frozen
 class HeartbeatReceived(GatewayEvent):
     """A heartbeat of another host arrived."""
--- a/packages/almondgap-core/almondgap_core/gateway/health.py
+++ b/packages/almondgap-core/almondgap_core/gateway/health.py
@@ -24,7 +24,11 @@
 from almondgap_core.gateway.reports import TargetChanged
 from almondgap_core.gateway.state import Call, GatewayState
 from almondgap_core.gateway.target import Target
-from almondgap_core.gateway.target_limits import record_rate_limit
+from almondgap_core.gateway.target_limits import (
+    has_limit_token,
+    record_rate_limit,
+    take_limit_token,
+)
 from almondgap_core.units import millis, seconds
 
 #: Delay before the first probe of a target that is down, and maximum interval between
@@ -63,7 +67,7 @@
     if event.misdirected:
         return
     if event.rate_limit is not None:
-        record_rate_limit(state, target, event.rate_limit)
+        record_rate_limit(state, target, event.rate_limit, now)
     if event.not_executed:
         if event.load is None or sum(event.load) >= target.announcement.slots:
             # It is full; one that rejects requests with slots free would do so later
@@ -122,8 +126,9 @@
         if not is_candidate(state, target):
             continue
         service = state.configuration.services.get(target.announcement.service)
-        if service is None:
+        if service is None or not has_limit_token(state, target, event.now):
             continue
+        take_limit_token(state, target, event.now)
         interval = min(
             INITIAL_PROBE_DELAY_US << min(target.failed_probes, 4),
             MAX_PROBE_INTERVAL_US,
@@ -139,6 +144,8 @@
     target = state.targets.get(event.target)
     if target is None or target.down_since is None:
         return
+    if event.rate_limit is not None:
+        record_rate_limit(state, target, event.rate_limit, event.now)
     if not event.healthy:
         target.failed_probes += 1
         return
--- a/packages/almondgap-core/almondgap_core/gateway/heartbeats.py
+++ b/packages/almondgap-core/almondgap_core/gateway/heartbeats.py
@@ -53,6 +53,29 @@
     outages: int
 
 
+@frozen
+class NamedLimit:
+    """A rate limit that a target named in an answer to a host.
+
+    :ivar incarnation: number of the target's run.
+    :ivar rate: requests per second from all hosts together, infinity for no limit.
+    :ivar age: time since the answer, in microseconds.
+    """
+
+    target: str
+    incarnation: int
+    rate: float
+    age: int
+
+
+@frozen
+class NamedLimits:
+    """The rate limits of targets that a host knows of."""
+
+    host: str
+    limits: tuple[NamedLimit, ...]
+
+
 @define
 class DecayingRate:
     """An event rate as an exponentially decaying average.
--- a/packages/almondgap-core/almondgap_core/gateway/placement.py
+++ b/packages/almondgap-core/almondgap_core/gateway/placement.py
@@ -24,6 +24,7 @@
     FailureShare,
     Target,
 )
+from almondgap_core.gateway.target_limits import has_limit_token
 from almondgap_core.gateway.warmup import is_warming_up, may_send_warmup
 from almondgap_core.units import millis
 
@@ -104,9 +105,19 @@
     """Return whether a target may receive a request now."""
     if target.down_since is not None or now < target.backoff_until:
         return False
+    if not has_limit_token(state, target, now):
+        return False
     return not is_warming_up(target, now) or may_send_warmup(state, target, now)
 
 
+def list_limited_targets(state: GatewayState, call: Call) -> list[Target]:
+    """Return the targets that are up, or none unless all of them limit their rate."""
+    affinity_key = call.affinity_key if call.route.sticky else ""
+    ranked = _rank_targets(state, call, affinity_key)
+    up = [target for target in ranked if target.down_since is None]
+    return up if all(target.limit.in_force for target in up) else []
+
+
 def is_candidate(state: GatewayState, target: Target) -> bool:
     """Return whether a target is in service at all, healthy or not."""
     announcement = target.announcement
--- a/packages/almondgap-core/almondgap_core/gateway/ranking.py
+++ b/packages/almondgap-core/almondgap_core/gateway/ranking.py
@@ -6,9 +6,12 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from hashlib import blake2b
 from math import log
 
+from almondgap_core.gateway.heartbeats import HostLocation
+
 
 def compute_rank(affinity_key: str, name: str) -> int:
     """Return the rank of a name for a key; the highest comes first."""
@@ -25,3 +28,19 @@
     """
     part = (compute_rank(affinity_key, name) + 1) / (2**64 + 1)
     return weight / -log(part)
+
+
+def sort_hosts(
+    locations: Iterable[HostLocation], target: str, region: str
+) -> list[HostLocation]:
+    """Return hosts in the order in which they are in charge of a target.
+
+    :param region: region of the target, whose hosts come first.
+    """
+    return sorted(
+        locations,
+        key=lambda location: (
+            location.region != region,
+            -compute_rank(location.host, target),
+        ),
+    )
--- a/packages/almondgap-core/almondgap_core/gateway/reducer.py
+++ b/packages/almondgap-core/almondgap_core/gateway/reducer.py
@@ -12,6 +12,7 @@
     health,
     rollout,
     store_views,
+    target_limits,
 )
 from almondgap_core.gateway.effects import GatewayEffect
 from almondgap_core.gateway.events import GatewayEvent
@@ -20,7 +21,15 @@
 from almondgap_core.verdict import Reason
 
 #: Modules that handle events, in the order in which they receive the same event.
-EVENT_MODULES = (rollout, discovery, fleet, store_views, health, calls)
+EVENT_MODULES = (
+    rollout,
+    discovery,
+    fleet,
+    store_views,
+    target_limits,
+    health,
+    calls,
+)
 
 
 def _collect_handlers() -> dict[type[GatewayEvent], tuple]:
--- a/packages/almondgap-core/almondgap_core/gateway/refusals.py
+++ b/packages/almondgap-core/almondgap_core/gateway/refusals.py
@@ -10,9 +10,10 @@
 
 from almondgap_core.gateway.effects import Refuse
 from almondgap_core.gateway.events import CallArrived
-from almondgap_core.gateway.placement import get_service_time
+from almondgap_core.gateway.placement import get_service_time, list_limited_targets
 from almondgap_core.gateway.reports import RequestRefused
 from almondgap_core.gateway.state import Call, GatewayState
+from almondgap_core.gateway.target_limits import plan_return
 from almondgap_core.units import MICROS_PER_MILLI, millis
 from almondgap_core.verdict import Reason, Refusal, Verdict
 
@@ -46,6 +47,18 @@
     send_refusal(state, call, now, refusal)
 
 
+def refuse_unplaced(state: GatewayState, call: Call, now: int) -> None:
+    """Refuse a request for which there is no usable target."""
+    limited = list_limited_targets(state, call)
+    if limited:
+        retry_after = plan_return(state, call.service, limited, now)
+        detail = f"rate limits of {len(limited)} targets leave no room"
+        refuse_call(state, call, now, 503, Reason.NO_CAPACITY, detail, retry_after)
+        return
+    detail = "no usable target for the service"
+    refuse_call(state, call, now, 503, Reason.NO_TARGET, detail)
+
+
 def plan_retry(state: GatewayState, call: Call, now: int) -> int:
     """Return the retry delay after a target failed while others may succeed."""
     target = state.targets.get(call.target)
--- a/packages/almondgap-core/almondgap_core/gateway/reports.py
+++ b/packages/almondgap-core/almondgap_core/gateway/reports.py
@@ -169,12 +169,14 @@
 
     :ivar rate: requests per second from all hosts together, None for no limit.
     :ivar previous: the rate before, None for no limit.
+    :ivar source: host that got the answer.
     """
 
     target: str
     service: str
     rate: float | None
     previous: float | None
+    source: str
 
 
 @frozen
--- a/packages/almondgap-core/almondgap_core/gateway/state.py
+++ b/packages/almondgap-core/almondgap_core/gateway/state.py
@@ -138,6 +138,11 @@
     :ivar membership_epoch: changes whenever the set of member hosts does.
     :ivar holders_cache: hosts that hold the limit of an account, with the epoch for
         which the answer holds.
+    :ivar limit_orders: position of this host among those in charge of a target, and
+        their number, by target, with the epoch for which they hold.
+    :ivar limits_changed: whether peers are to be told of a target's rate limit.
+    :ivar next_returns: when the next caller may return that the rate limits of a
+        service's targets leave no room for, by service.
     :ivar token_requests: requests that wait for tokens of a peer, by client account.
     :ivar last_correlation_id: correlation id of the latest token request.
     :ivar service_times: service time of a cached object, by route; excludes queueing.
@@ -170,6 +175,9 @@
     hosts_listed: bool = False
     membership_epoch: int = 0
     holders_cache: dict[tuple[str, int], tuple] = Factory(dict)
+    limit_orders: dict[str, tuple[int, int, int]] = Factory(dict)
+    limits_changed: bool = False
+    next_returns: dict[str, int] = Factory(dict)
     heartbeat_sequence: int = 0
     next_heartbeat_at: int = 0
     calls: dict[int, Call] = Factory(dict)
--- a/packages/almondgap-core/almondgap_core/gateway/target.py
+++ b/packages/almondgap-core/almondgap_core/gateway/target.py
@@ -118,6 +118,29 @@
         self.updated_at = now
 
 
+@define
+class TargetLimit:
+    """A rate limit that a target named, and this host's part; times in microseconds.
+
+    :ivar rate: requests per second from all hosts together, infinity for no limit.
+    :ivar observed_at: when an answer to any host said so, as far as this host knows.
+    :ivar tokens: requests that this host may send now.
+    :ivar refilled_at: when tokens were last added.
+    :ivar tried_at: when this host last sent a request without a token.
+    """
+
+    rate: float = inf
+    observed_at: int = 0
+    tokens: float = 0.0
+    refilled_at: int = 0
+    tried_at: int = 0
+
+    @property
+    def in_force(self) -> bool:
+        """Whether there is a limit."""
+        return self.rate != inf
+
+
 @define
 class Target:
     """A target and what this host has observed of it; times in microseconds.
@@ -135,8 +158,7 @@
     :ivar backoff_until: when it may receive requests again after it rejected one.
     :ivar warmup_until: when its warm-up ends.
     :ivar next_warmup_at: earliest time of the next request to it during warm-up.
-    :ivar rate_limit: requests per second that it takes from all hosts together,
-        infinity if it named no limit.
+    :ivar limit: rate limit that it named.
     :ivar recent_objects: objects that this host sent to it, with the time of the last
         request.
     """
@@ -155,7 +177,7 @@
     backoff_until: int = 0
     warmup_until: int = 0
     next_warmup_at: int = 0
-    rate_limit: float = inf
+    limit: TargetLimit = Factory(TargetLimit)
     recent_objects: dict[str, int] = Factory(dict)
 
     @property
@@ -195,5 +217,5 @@
         self.down_since = None
         self.failed_probes = 0
         self.backoff_until = 0
-        self.rate_limit = inf
+        self.limit = TargetLimit()
         self.recent_objects.clear()
--- a/packages/almondgap-core/almondgap_core/gateway/warmup.py
+++ b/packages/almondgap-core/almondgap_core/gateway/warmup.py
@@ -9,7 +9,7 @@
 from __future__ import annotations
 
 from almondgap_core.gateway.fleet import list_live_peers
-from almondgap_core.gateway.ranking import compute_rank
+from almondgap_core.gateway.ranking import sort_hosts
 from almondgap_core.gateway.state import GatewayState
 from almondgap_core.gateway.target import Target
 from almondgap_core.units import MICROS_PER_SECOND
@@ -32,10 +32,7 @@
         peer.location for peer in list_live_peers(state, now) if peer.heartbeat.ready
     ]
     region = state.find_region(target.announcement.failure_domain)
-    nearby = [
-        location for location in locations if location.region == region
-    ] or locations
-    first = max(nearby, key=lambda location: compute_rank(location.host, target.name))
+    first, *_ = sort_hosts(locations, target.name, region)
     return first.host == state.location.host
 
 
--- a/packages/almondgap-daemon/almondgap_daemon/gateway/messages.py
+++ b/packages/almondgap-daemon/almondgap_daemon/gateway/messages.py
@@ -10,11 +10,17 @@
 from collections.abc import Callable
 
 import msgpack
-from attrs import define, frozen
+from attrs import astuple, define, frozen
 from twisted.internet.protocol import DatagramProtocol
 
 from almondgap_core.exceptions import MessageError
-from almondgap_core.gateway.heartbeats import Heartbeat, HostLocation, StoreView
+from almondgap_core.gateway.heartbeats import (
+    Heartbeat,
+    HostLocation,
+    NamedLimit,
+    NamedLimits,
+    StoreView,
+)
 
 #: Version of the message format. A host ignores messages of other versions.
 FORMAT_VERSION = 1
@@ -47,10 +53,10 @@
 
 
 #: Message types by their number on the wire, which is the position in this tuple.
-MESSAGE_TYPES = (Heartbeat, TokenRequest, TokenResponse, StoreView)
+MESSAGE_TYPES = (Heartbeat, TokenRequest, TokenResponse, StoreView, NamedLimits)
 
 
-Message = Heartbeat | TokenRequest | TokenResponse | StoreView
+Message = Heartbeat | TokenRequest | TokenResponse | StoreView | NamedLimits
 
 
 def encode_message(message: Message) -> bytes:
@@ -79,6 +85,9 @@
         )
     elif isinstance(message, StoreView):
         fields = (message.host, message.incarnation, message.versions, message.outages)
+    elif isinstance(message, NamedLimits):
+        limits = [astuple(limit) for limit in message.limits]
+        fields = (message.host, limits)
     else:
         fields = (message.account, message.correlation_id, message.tokens)
     kind = MESSAGE_TYPES.index(type(message))
@@ -116,7 +125,20 @@
     )
 
 
+def _decode_named_limits(host, limits) -> NamedLimits:
+    return NamedLimits(str(host), tuple(_decode_named_limit(*each) for each in limits))
+
+
+def _decode_named_limit(target, incarnation, rate, age) -> NamedLimit:
+    limit = NamedLimit(str(target), int(incarnation), float(rate), int(age))
+    # NaN fails the comparison as well.
+    if not (limit.rate >= 0.0 and limit.age >= 0):
+        raise ValueError(f"invalid limit {limit}")
+    return limit
+
+
 _DECODERS = {
+    NamedLimits: _decode_named_limits,
     Heartbeat: _decode_heartbeat,
     TokenRequest: lambda reply_to, account, correlation_id, tokens: TokenRequest(
         str(reply_to), str(account), int(correlation_id), float(tokens)
--- a/packages/almondgap-daemon/almondgap_daemon/gateway/runtime.py
+++ b/packages/almondgap-daemon/almondgap_daemon/gateway/runtime.py
@@ -23,6 +23,7 @@
     RequestTokens,
     Send,
     SendHeartbeat,
+    SendNamedLimits,
     SendStoreView,
     StartExpiryTimer,
     StartTokenTimer,
@@ -33,13 +34,14 @@
     CallExpired,
     GatewayEvent,
     HeartbeatReceived,
+    NamedLimitsReceived,
     StoreViewReceived,
     Ticked,
     TokensGranted,
     TokensRequested,
     TokensTimedOut,
 )
-from almondgap_core.gateway.heartbeats import Heartbeat, StoreView
+from almondgap_core.gateway.heartbeats import Heartbeat, NamedLimits, StoreView
 from almondgap_core.gateway.reducer import fail_call, step
 from almondgap_core.gateway.state import GatewayState
 from almondgap_core.units import MICROS_PER_SECOND
@@ -129,6 +131,9 @@
             SendStoreView: lambda effect: self.send_message(
                 effect.view, *effect.addresses
             ),
+            SendNamedLimits: lambda effect: self.send_message(
+                effect.named, *effect.addresses
+            ),
             ReadTable: lambda effect: self.read_table(effect.table),
             RequestTokens: self._ask_tokens,
             GrantTokens: self._give_tokens,
@@ -199,6 +204,8 @@
             self.feed(HeartbeatReceived(now, message))
         elif isinstance(message, StoreView):
             self.feed(StoreViewReceived(now, message))
+        elif isinstance(message, NamedLimits):
+            self.feed(NamedLimitsReceived(now, message))
         elif isinstance(message, TokenRequest):
             fields = (message.reply_to, message.account, message.correlation_id)
             self.feed(TokensRequested(now, *fields, message.tokens))
--- a/packages/almondgap-daemon/almondgap_daemon/gateway/target_client.py
+++ b/packages/almondgap-daemon/almondgap_daemon/gateway/target_client.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from math import inf
 
 from attrs import define, field
 from twisted.internet.defer import CancelledError, Deferred, inlineCallbacks
@@ -136,7 +137,10 @@
         is_target = response.get(names.TARGET) == probe.target.encode()
         healthy = is_target and response.status == HEALTHY_STATUS
         warm_up_left = names.parse_warm_up_left(response.headers)
-        self.feed(ProbeEnded(self.now(), probe.target, healthy, warm_up_left))
+        rate = names.parse_rate_limit(response.headers) if is_target else None
+        # A health check without the header does not say that a limit has ended.
+        limit = None if rate == inf else rate
+        self.feed(ProbeEnded(self.now(), probe.target, healthy, warm_up_left, limit))
 
     def _report_failure(self, send: Send, failure: Failure, verdict: Verdict) -> None:
         self.feed(AttemptFailed(self.now(), send.call, send.attempt, failure, verdict))
--- a/packages/almondgap-testkit/almondgap_testkit/gateways/simulation.py
+++ b/packages/almondgap-testkit/almondgap_testkit/gateways/simulation.py
@@ -26,6 +26,7 @@
     RequestTokens,
     Send,
     SendHeartbeat,
+    SendNamedLimits,
     StartExpiryTimer,
     StartTokenTimer,
 )
@@ -38,6 +39,7 @@
     Failure,
     GatewayEvent,
     HeartbeatReceived,
+    NamedLimitsReceived,
     ProbeEnded,
     TargetAnswered,
     TargetsRead,
@@ -308,7 +310,11 @@
                     lambda effect=effect: self._feed(host, CallExpired, effect.call),
                 )
             elif isinstance(effect, SendHeartbeat):
-                self._send_heartbeat(host, effect)
+                message = (HeartbeatReceived, effect.heartbeat)
+                self._send_message(host, effect.addresses, *message)
+            elif isinstance(effect, SendNamedLimits):
+                message = (NamedLimitsReceived, effect.named)
+                self._send_message(host, effect.addresses, *message)
             elif isinstance(effect, Probe):
                 self._probe(host, effect)
             elif isinstance(effect, RequestTokens | GrantTokens):
@@ -346,9 +352,15 @@
                 )
             )
 
-    def _send_heartbeat(self, host: ModelHost, effect: SendHeartbeat) -> None:
+    def _send_message(
+        self,
+        host: ModelHost,
+        addresses: tuple[str, ...],
+        kind: type[GatewayEvent],
+        message: object,
+    ) -> None:
         sender = host.state.location.host
-        for address in effect.addresses:
+        for address in addresses:
             name = address.partition(":")[0]
             if (
                 name in self.isolated
@@ -358,9 +370,7 @@
                 continue
             self.clock.call_later(
                 ONE_WAY_DELAY_US,
-                lambda name=name: self._feed(
-                    self.hosts[name], HeartbeatReceived, effect.heartbeat
-                ),
+                lambda name=name: self._feed(self.hosts[name], kind, message),
             )
 
     def _send_tokens(
--- a/packages/almondgap-testkit/almondgap_testkit/standins/workers.py
+++ b/packages/almondgap-testkit/almondgap_testkit/standins/workers.py
@@ -29,7 +29,8 @@
     """One target.
 
     :ivar mode: ``well``, ``failing``, ``shedding``, ``cutting`` (ends the connection
-        after it ran the request) or ``unsealed``.
+        after it ran the request), ``unsealed`` or ``limited`` (takes one request a
+        second from all hosts together).
     :ivar runs: how often each request ran, by its id.
     :ivar log: when each ran, by a clock that all processes share, in seconds.
     :ivar seen: headers of the newest request.
@@ -121,6 +122,8 @@
             return NOT_DONE_YET
         if self.mode != "unsealed":
             request.setHeader(SEAL, f"{self.name}.{request_id}")
+        if self.mode == "limited":
+            request.setHeader("Server-Limit", "1.0")
         request.setHeader("X-Almondgap-Server-Load", f"{self.running},0,{self.slots}")
         request.setResponseCode(500 if self.mode == "failing" else 200)
         body = request.content.read()
--- a/tests/core/gateway/test_target_limits.py
+++ b/tests/core/gateway/test_target_limits.py
@@ -5,10 +5,12 @@
 
 from __future__ import annotations
 
+from math import inf
 from unittest import TestCase
 
 from almondgap_core.gateway.configuration import Account
 from almondgap_core.units import millis, seconds
+from almondgap_core.verdict import Verdict
 from almondgap_testkit.gateways.builders import KEY, announce, build_configuration
 from almondgap_testkit.gateways.simulation import ModelTarget, Simulation
 
@@ -63,3 +65,116 @@
             sim.run(seconds(15))
             for target in limited:
                 self.check(target, rate, since)
+
+    def test_limited_target_is_used(self):
+        sim = build_fleet()
+        sim.targets["t0"].rate_limit = 2.4
+        sim.generate_load(list(sim.hosts), 150, seconds(20))
+        sim.run(seconds(20))
+        since = sim.clock.now - seconds(16)
+        count = sum(at >= since for at, _ in sim.targets["t0"].arrivals)
+        self.assertGreaterEqual(count, 2.4 * 16 * 0.6)
+
+    def test_limit_holds_while_hosts_restart_one_after_another(self):
+        sim = build_fleet()
+        sim.generate_load(list(sim.hosts), 150, seconds(40))
+        target = sim.targets["t0"]
+        target.rate_limit = 2.4
+        sim.run(seconds(4))
+        since = sim.clock.now
+        started = {}
+        for number, name in enumerate(list(sim.hosts)):
+            sim.kill_host(name)
+            sim.run(seconds(1))
+            sim.add_host(name, DOMAINS[number % len(DOMAINS)])
+            started[name] = sim.clock.now
+            sim.run(seconds(2))
+        sim.run(seconds(4))
+        # A host that has just started may not know the limit until it gets an answer.
+        target.arrivals = [
+            (at, host)
+            for at, host in target.arrivals
+            if not started[host] <= at < started[host] + millis(500)
+        ]
+        self.check(target, 2.4, since)
+
+    def test_limit_holds_while_its_holder_is_cut_off_from_the_others(self):
+        for name in [f"h{number}" for number in range(5)]:
+            sim = build_fleet()
+            sim.generate_load(list(sim.hosts), 150, seconds(20))
+            sim.targets["t0"].rate_limit = 2.4
+            sim.run(seconds(4))
+            since = sim.clock.now
+            sim.isolated.add(name)
+            sim.run(seconds(12))
+            self.check(sim.targets["t0"], 2.4, since)
+
+    def test_all_hosts_send_again_after_the_limit_has_ended(self):
+        for rate in (0.0, 2.4):
+            sim = build_fleet()
+            sim.generate_load(list(sim.hosts), 150, seconds(30))
+            target = sim.targets["t0"]
+            target.rate_limit = rate
+            sim.run(seconds(10))
+            target.rate_limit = inf
+            sim.run(seconds(12))
+            since = sim.clock.now - seconds(4)
+            for host in sim.hosts.values():
+                self.assertFalse(host.state.targets["t0"].limit.in_force)
+            count = sum(at >= since for at, _ in target.arrivals)
+            self.assertGreater(count, 40)
+
+    def test_answers_without_a_readable_limit_do_not_end_it(self):
+        sim = build_fleet()
+        sim.generate_load(list(sim.hosts), 150, seconds(20))
+        target = sim.targets["t0"]
+        target.rate_limit = 2.4
+        sim.run(seconds(4))
+        since = sim.clock.now
+        target.rate_limit = None
+        sim.run(seconds(8))
+        self.check(target, 2.4, since)
+
+    def test_limit_that_falls_binds_at_once(self):
+        sim = build_fleet()
+        sim.generate_load(list(sim.hosts), 150, seconds(20))
+        target = sim.targets["t0"]
+        target.rate_limit = 20.0
+        sim.run(seconds(6))
+        target.rate_limit = 1.0
+        since = sim.clock.now + seconds(1)
+        sim.run(seconds(8))
+        self.check(target, 1.0, since)
+
+    def test_health_checks_count_against_the_limit(self):
+        sim = build_fleet()
+        sim.generate_load(list(sim.hosts), 150, seconds(20))
+        target = sim.targets["t0"]
+        target.rate_limit = 0.4
+        sim.run(seconds(4))
+        target.mode = "dead"
+        since = sim.clock.now
+        sim.run(seconds(12))
+        self.check(target, 0.4, since)
+
+
+class RefusalTests(TestCase):
+    def test_callers_beyond_all_limits_are_refused_at_once_and_return_spread(self):
+        sim = build_fleet(targets=2)
+        for target in sim.targets.values():
+            target.rate_limit = 3.0
+        sim.generate_load(list(sim.hosts), 60, seconds(12))
+        sim.run(seconds(12))
+        since = sim.clock.now - seconds(8)
+        refused = [
+            outcome
+            for outcome in sim.outcomes
+            if outcome.refusal is not None and outcome.started_at >= since
+        ]
+        self.assertGreater(len(refused), 200)
+        for outcome in refused:
+            self.assertEqual(outcome.latency, 0)
+            self.assertIs(outcome.refusal.verdict, Verdict.NOT_RUN)
+            self.assertGreaterEqual(outcome.refusal.retry_after, millis(100))
+        delays = [outcome.refusal.retry_after for outcome in refused]
+        self.assertGreater(max(delays) - min(delays), seconds(1))
--- a/tests/daemon/gateway/test_messages.py
+++ b/tests/daemon/gateway/test_messages.py
@@ -1,12 +1,17 @@
 from __future__ import annotations
 
 import random
+from math import inf, nan
 from unittest import TestCase
 
 import msgpack
 
 from almondgap_core.exceptions import MessageError
-from almondgap_core.gateway.heartbeats import Heartbeat
+from almondgap_core.gateway.heartbeats import (
+    Heartbeat,
+    NamedLimit,
+    NamedLimits,
+)
 from almondgap_daemon.gateway.messages import (
     TokenRequest,
     TokenResponse,
@@ -22,6 +27,10 @@
             Heartbeat(build_location(), 5, 6, True, 7),
             TokenRequest("h1:90", "one", 4, 3.0),
             TokenResponse("one", 4, 0.0),
+            NamedLimits(
+                "h1", (NamedLimit("t1", 5, 2.5, 6), NamedLimit("t2", 5, inf, 0))
+            ),
+            NamedLimits("h1", ()),
         ):
             self.assertEqual(decode_message(encode_message(message)), message)
 
@@ -29,6 +38,10 @@
         heartbeat = encode_message(Heartbeat(build_location(), 5, 6, True, 7))
         rng = random.Random(1)
         broken = [b"", b"\xc1", msgpack.packb([2, 0]), msgpack.packb([1, 9, 1])]
+        broken += [
+            msgpack.packb([1, 4, "h1", [["t1", 5, rate, age]]])
+            for rate, age in ((nan, 0), (-1.0, 0), (2.0, -1), ("x", 0), (None, 0))
+        ]
         broken += [heartbeat[:length] for length in range(len(heartbeat))]
         broken += [rng.randbytes(40) for _ in range(200)]
         for data in broken:
--- a/tests/daemon/gateway/test_site.py
+++ b/tests/daemon/gateway/test_site.py
@@ -49,6 +49,20 @@
         runs = [site.list_runs(number)["runs"].get("r4", 0) for number in range(2)]
         self.assertEqual(runs, [1, 1])
 
+    def test_target_that_names_a_rate_limit_gets_no_more(self):
+        site = self.start(("h1", "h2"), workers=1)
+        site.set_mode(0, "limited")
+        started = time.monotonic()
+        for number in range(60):
+            host = f"h{number % 2 + 1}"
+            reply = site.call(host, request_id=f"l{number}")
+            if reply.status != 200:
+                self.assertEqual(reply.status, 503)
+                self.assertEqual(json.loads(reply.body)["verdict"], "not-run")
+                self.assertGreater(float(reply.headers["retry-after"]), 0)
+        elapsed = time.monotonic() - started
+        self.assertLessEqual(len(site.list_runs(0)["runs"]), 6 + 1.5 * elapsed)
+
     def test_answer_without_mark_is_not_passed_on(self):
         site = self.start()
         for number in range(2):
