Tell hosts only of limits in own answers, and use limits in full

The rule's tolerance is for hosts that disagree, and the shares are exact otherwise.

Messages: a host repeats only what targets answered to it within 10 s, and sends all to hosts that start. With every target limited and 74 hosts that is 1.6 KB a second a host; repeating all that was heard would be 2 KB for each of 24 peers every second.

--- a/packages/almondgap-core/almondgap_core/gateway/fleet.py
+++ b/packages/almondgap-core/almondgap_core/gateway/fleet.py
@@ -18,7 +18,7 @@
 from almondgap_core.gateway.limit_shares import update_membership
 from almondgap_core.gateway.reports import HostChanged, StopBegun
 from almondgap_core.gateway.state import GatewayState, Peer
-from almondgap_core.gateway.target_limits import send_limits
+from almondgap_core.gateway.target_limits import send_all_limits, send_limits
 from almondgap_core.units import MICROS_PER_MILLI, millis, seconds
 
 #: Heartbeat intervals to hosts of the same region, to hosts of other regions, and to
@@ -181,15 +181,19 @@
         state.version,
     )
     addresses = []
+    newcomers = []
     for peer in state.peers.values():
         if peer.last_sent_at is None or now - peer.last_sent_at >= _choose_interval(
             state, peer
         ):
+            if peer.last_sent_at is None:
+                newcomers.append(peer.location.peer_address)
             peer.last_sent_at = now
             addresses.append(peer.location.peer_address)
     if addresses:
         state.perform(SendHeartbeat(heartbeat, tuple(addresses)))
         send_limits(state, tuple(addresses), now)
+        send_all_limits(state, tuple(newcomers), now)
 
 
 def _choose_interval(state: GatewayState, peer: Peer) -> int:
--- a/packages/almondgap-core/almondgap_core/gateway/target.py
+++ b/packages/almondgap-core/almondgap_core/gateway/target.py
@@ -124,6 +124,7 @@
 
     :ivar rate: requests per second from all hosts together, infinity for no limit.
     :ivar observed_at: when an answer to any host said so, as far as this host knows.
+    :ivar observed_here: whether that answer went to this host.
     :ivar tokens: requests that this host may send now.
     :ivar refilled_at: when tokens were last added.
     :ivar tried_at: when this host last sent a request without a token.
@@ -131,6 +132,7 @@
 
     rate: float = inf
     observed_at: int = 0
+    observed_here: bool = False
     tokens: float = 0.0
     refilled_at: int = 0
     tried_at: int = 0
--- a/packages/almondgap-core/almondgap_core/gateway/target_limits.py
+++ b/packages/almondgap-core/almondgap_core/gateway/target_limits.py
@@ -26,9 +26,6 @@
 from almondgap_core.gateway.target import Target, TargetLimit
 from almondgap_core.units import MICROS_PER_SECOND, millis, seconds
 
-#: Fraction of a limit that is used; the rest covers hosts that briefly disagree.
-RATE_FRACTION = 0.95
-
 #: Minimum useful share of a limit, in requests per second.
 MIN_SHARE_RATE = 1.0
 
@@ -44,8 +41,9 @@
 STALE_US = seconds(5)
 TURN_US = seconds(1)
 
-#: Time for which peers are told that a limit has ended.
-ENDED_TTL_US = seconds(10)
+#: Time for which a host tells its peers of an answer: longer than the interval of its
+#: messages to any of them.
+NEWS_TTL_US = seconds(10)
 
 #: Maximum number of limits in a message.
 MAX_LIMITS_PER_MESSAGE = 100
@@ -103,15 +101,27 @@
 
 
 def send_limits(state: GatewayState, addresses: tuple[str, ...], now: int) -> None:
-    """Tell other hosts the limits that targets named, if there are any."""
-    known = [
+    """Tell other hosts what targets named in recent answers to this one."""
+    news = [
         target
         for target in state.targets.values()
-        if target.limit.in_force or _ended_recently(target.limit, now)
+        if target.limit.observed_here and now - target.limit.observed_at < NEWS_TTL_US
     ]
-    if not known or not addresses:
+    _send(state, news, addresses, now)
+
+
+def send_all_limits(state: GatewayState, addresses: tuple[str, ...], now: int) -> None:
+    """Tell hosts that have just started which limits are in force."""
+    known = [target for target in state.targets.values() if target.limit.in_force]
+    _send(state, known, addresses, now)
+
+
+def _send(
+    state: GatewayState, targets: list[Target], addresses: tuple[str, ...], now: int
+) -> None:
+    if not targets or not addresses:
         return
-    known.sort(key=lambda target: -target.limit.observed_at)
+    targets.sort(key=lambda target: -target.limit.observed_at)
     limits = tuple(
         NamedLimit(
             target.name,
@@ -119,7 +129,7 @@
             target.limit.rate,
             now - target.limit.observed_at,
         )
-        for target in known[:MAX_LIMITS_PER_MESSAGE]
+        for target in targets[:MAX_LIMITS_PER_MESSAGE]
     )
     named = NamedLimits(state.location.host, limits)
     state.perform(SendNamedLimits(named, addresses))
@@ -181,6 +191,7 @@
         target.limit = limit = TargetLimit(refilled_at=now)
     limit.rate = rate
     limit.observed_at = observed_at
+    limit.observed_here = source == state.location.host
     if rate == previous or abs(rate - previous) < MIN_CHANGE * previous < inf:
         return False
     state.report(
@@ -195,10 +206,6 @@
     return True
 
 
-def _ended_recently(limit: TargetLimit, now: int) -> bool:
-    return limit.observed_at > 0 and now - limit.observed_at < ENDED_TTL_US
-
-
 def _refill(state: GatewayState, target: Target, now: int) -> None:
     limit = target.limit
     share = _compute_share(state, target)
@@ -214,7 +221,7 @@
         return 0.0
     position, nearby = _find_position(state, target)
     holders = min(max(1, int(target.limit.rate / MIN_SHARE_RATE)), nearby)
-    return target.limit.rate * RATE_FRACTION / holders if position < holders else 0.0
+    return target.limit.rate / holders if position < holders else 0.0
 
 
 def _may_try(state: GatewayState, target: Target, now: int) -> bool:
--- a/tests/core/gateway/test_target_limits.py
+++ b/tests/core/gateway/test_target_limits.py
@@ -98,6 +98,18 @@
         ]
         self.check(target, 2.4, since)
 
+    def test_host_that_starts_learns_the_limit_from_the_others(self):
+        sim = build_fleet()
+        sim.targets["t0"].rate_limit = 2.4
+        sim.generate_load(list(sim.hosts), 150, seconds(8))
+        sim.run(seconds(8))
+        for number in (0, 7):
+            sim.kill_host(f"h{number}")
+            sim.run(seconds(1))
+            host = sim.add_host(f"h{number}", DOMAINS[number])
+            sim.run(millis(300))
+            self.assertEqual(host.state.targets["t0"].limit.rate, 2.4)
+
     def test_limit_holds_while_its_holder_is_cut_off_from_the_others(self):
         for name in [f"h{number}" for number in range(5)]:
             sim = build_fleet()
