Log that the store was restored from a copy

The logs could not tell a store that came back from a copy, without its latest changes, from one that was only away. The store's client reads the era in its answers, and 'store changed' has a third state, 'restored', with the era. The stand-in of the store makes copies and goes back to them. Decisions are as before.

--- a/packages/almondgap-core/almondgap_core/gateway/events.py
+++ b/packages/almondgap-core/almondgap_core/gateway/events.py
@@ -169,6 +169,16 @@
     """The store answers again."""
 
 
+@frozen
+class StoreRestored(GatewayEvent):
+    """The store was restored from a copy, which lacks its latest changes.
+
+    :ivar era: number of the store's era from now on.
+    """
+
+    era: int
+
+
 class StoreTable(Enum):
     """A table of the store that hosts follow; hosts list them in this order."""
 
--- a/packages/almondgap-core/almondgap_core/gateway/store_views.py
+++ b/packages/almondgap-core/almondgap_core/gateway/store_views.py
@@ -16,6 +16,7 @@
 from almondgap_core.gateway.effects import ReadTable, SendStoreView
 from almondgap_core.gateway.events import (
     GatewayEvent,
+    StoreRestored,
     StoreTable,
     StoreViewReceived,
     TableRead,
@@ -24,7 +25,7 @@
 from almondgap_core.gateway.fleet import list_live_peers
 from almondgap_core.gateway.heartbeats import StoreView
 from almondgap_core.gateway.ranking import compute_rank
-from almondgap_core.gateway.reports import ClaimRefuted, TableBehind
+from almondgap_core.gateway.reports import ClaimRefuted, StoreChanged, TableBehind
 from almondgap_core.gateway.state import GatewayState, Peer
 from almondgap_core.gateway.store_knowledge import Claimant
 from almondgap_core.units import MICROS_PER_MILLI, millis, seconds
@@ -158,6 +159,11 @@
             _read_again(state, table, event.now)
 
 
+def handle_store_restored(state: GatewayState, event: StoreRestored) -> None:
+    """Report that the store lacks its latest changes."""
+    state.report(StoreChanged("restored", f"from a copy, era {event.era}"))
+
+
 def handle_tick(state: GatewayState, event: Ticked) -> None:
     """Act on claims that still stand, and send the own view when it is due."""
     knowledge = state.store_knowledge
@@ -265,6 +271,7 @@
 
 
 EVENT_HANDLERS: dict[type[GatewayEvent], object] = {
+    StoreRestored: handle_store_restored,
     TableRead: handle_table_read,
     StoreViewReceived: handle_store_view_received,
     Ticked: handle_tick,
--- a/packages/almondgap-daemon/almondgap_daemon/gateway/process.py
+++ b/packages/almondgap-daemon/almondgap_daemon/gateway/process.py
@@ -17,7 +17,7 @@
 
 from almondgap_core.exceptions import ConfigurationError, MessageError, PlatformError
 from almondgap_core.gateway.configuration import CallerLimits
-from almondgap_core.gateway.events import StopRequested
+from almondgap_core.gateway.events import StopRequested, StoreRestored
 from almondgap_core.gateway.fleet import list_caller_addresses, register_peers
 from almondgap_core.gateway.state import GatewayState
 from almondgap_core.gateway.store_views import plan_call
@@ -156,6 +156,7 @@
             lambda table, failures: plan_call(runtime.state, table, failures),
         )
         self.messages = MessageSocket(runtime.handle_message, self._log_ignored)
+        self.store.on_restored = self._handle_store_restored
         runtime.send_message = self.messages.send
         runtime.read_table = self.watcher.read_table
         self.callers = ServerFactory(self.reactor, runtime, self._log_ignored)
@@ -290,6 +291,9 @@
             self._add_hosts(batch.rows)
             return
 
+    def _handle_store_restored(self, era: int) -> None:
+        self.runtime.feed(StoreRestored(self.runtime.now(), era))
+
     def _add_hosts(self, rows) -> None:
         places = []
         for row in rows:
--- a/packages/almondgap-daemon/almondgap_daemon/platform/store.py
+++ b/packages/almondgap-daemon/almondgap_daemon/platform/store.py
@@ -4,6 +4,7 @@
 
 import base64
 import json
+from collections.abc import Callable
 from typing import Any
 from urllib.parse import urlencode
 
@@ -29,6 +30,13 @@
 #: Rows per page, which is the store's upper limit.
 MAX_ROWS_PER_PAGE = 500
 
+#: Header with the number of the store's era, which rises when it is restored from a
+#: copy: versions of another era name other rows.
+ERA = b"store-era"
+
+#: Maximum number of digits of an era.
+MAX_ERA_DIGITS = 15
+
 #: Idle connections that are kept: one per watched table and one for other calls.
 MAX_IDLE_CONNECTIONS = 3
 
@@ -52,12 +60,16 @@
 class StoreClient:
     """Client of the platform's store, shared by all parts of a host.
 
+    :ivar on_restored: called with the new era when the store was restored from a copy.
     :ivar calls: number of calls so far.
+    :ivar era: newest era of the store seen, 0 if it names none.
     """
 
     reactor: object
     address: str
+    on_restored: Callable[[int], None] = lambda era: None
     calls: int = 0
+    era: int = 0
     _pool: ConnectionPool = field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -168,8 +180,22 @@
             self._pool.close()
             raise PlatformAnswerLost(f"{target}: {exc!r}") from exc
         self._pool.release("store", conn, MAX_IDLE_CONNECTIONS)
+        self._record_era(_parse_era(response))
         return response
 
+    def _record_era(self, era: int) -> None:
+        previous = self.era
+        if era > previous:
+            self.era = era
+            if previous:
+                self.on_restored(era)
+
+
+def _parse_era(response: Response) -> int:
+    """Return the store's era in an answer, 0 if it names none."""
+    value = (response.get(ERA) or b"").strip()
+    return int(value) if value.isdigit() and len(value) <= MAX_ERA_DIGITS else 0
+
 
 def _decode_body(response: Response) -> dict[str, Any]:
     try:
--- a/packages/almondgap-testkit/almondgap_testkit/standins/store.py
+++ b/packages/almondgap-testkit/almondgap_testkit/standins/store.py
@@ -8,6 +8,7 @@
 
 import argparse
 import base64
+import copy
 import json
 from typing import Any
 
@@ -33,12 +34,14 @@
     :ivar rows: table, part and key to value and version.
     :ivar history: changed rows in order; a value of None is a removal.
     :ivar oldest: version after which the history is complete.
+    :ivar era: rises when the rows are restored from a copy.
     """
 
     rows: dict[tuple[str, str, str], tuple[str, int]] = Factory(dict)
     history: list[tuple[int, tuple[str, str, str], str | None]] = Factory(list)
     version: int = 0
     oldest: int = 0
+    era: int = 1
 
     def apply(self, node: dict[str, Any]) -> tuple[int, dict[str, Any]]:
         """Run a transaction; return status and body."""
@@ -67,7 +70,7 @@
 
     def list_changes(self, table: str, after: int) -> list[dict[str, Any]] | None:
         """Return the rows changed after a version, None if that is forgotten."""
-        if after < self.oldest:
+        if not self.oldest <= after <= self.version:
             return None
         rows = []
         for version, name, value in self.history:
@@ -82,6 +85,13 @@
         self.history.clear()
         self.oldest = self.version
 
+    def restore(self, saved: StoreRows) -> None:
+        """Go back to a copy, in a new era."""
+        self.rows = dict(saved.rows)
+        self.history = list(saved.history)
+        self.version, self.oldest = saved.version, saved.oldest
+        self.era += 1
+
     def _dump(self, name: tuple[str, str, str]) -> dict[str, Any]:
         value, version = self.rows[name]
         table, part, key = name
@@ -119,11 +129,13 @@
     """The store and its calls.
 
     :ivar calls: calls of the system so far.
+    :ivar saved: the newest copy.
     """
 
     rows: StoreRows = Factory(StoreRows)
     faults: StoreFaults = Factory(StoreFaults)
     calls: int = 0
+    saved: StoreRows = Factory(StoreRows)
     app: Klein = field(init=False)
     _waiting: list[Deferred] = Factory(list)
 
@@ -135,6 +147,8 @@
         self.app.route("/control/rows", methods=["POST"])(self.write)
         self.app.route("/control/faults", methods=["POST"])(self.set_faults)
         self.app.route("/control/forget", methods=["POST"])(self.forget)
+        self.app.route("/control/save", methods=["POST"])(self.save)
+        self.app.route("/control/restore", methods=["POST"])(self.restore)
         self.app.route("/control/state")(self.show_state)
 
     async def transact(self, request):
@@ -169,6 +183,7 @@
             if not await self._begin(request):
                 return b""
             rows = self.rows.list_changes(table, after)
+            request.setHeader("Store-Era", str(self.rows.era))
             if rows is None:
                 request.setResponseCode(410)
                 return b""
@@ -208,6 +223,17 @@
         self._wake()
         return b""
 
+    def save(self, request):
+        """Make a copy of the rows."""
+        self.saved = copy.deepcopy(self.rows)
+        return b""
+
+    def restore(self, request):
+        """Go back to the copy."""
+        self.rows.restore(self.saved)
+        self._wake()
+        return b""
+
     def show_state(self, request):
         """Return what the store holds, for checks."""
         names = sorted("/".join(name) for name in self.rows.rows)
@@ -216,6 +242,7 @@
     async def _begin(self, request) -> bool:
         """Count a call; return whether it is to be served."""
         self.calls += 1
+        request.setHeader("Store-Era", str(self.rows.era))
         if self.faults.silent:
             await Deferred()
         if self.faults.delay_ms:
