Read a restored store anew by its era, not by its versions

What callers would see: after the store came back from a copy, a host that asks late, cut off or waiting out its back-off, goes on with the configuration of before, without the routes that were added and with the keys that were withdrawn, until the next change.

Cause: the store's client took the store as restored while its version was below the one last read. Once new rows have overtaken that version, the answer looks like the same history, and rows given out again below it are never read. The class of fault: a counter compared across a break in what it counts.

A store that names no era is era 0, and is judged by its versions as before.

--- a/packages/almondgap-daemon/almondgap_daemon/gateway/watcher.py
+++ b/packages/almondgap-daemon/almondgap_daemon/gateway/watcher.py
@@ -77,6 +77,7 @@
     :ivar uniform: returns a random number in [0, 1), for jitter.
     :ivar batch_delay_s: delay after a long poll that returned changes, in seconds.
     :ivar version: store version up to which rows were read, None before the snapshot.
+    :ivar era: era of the store to which that version belongs.
     """
 
     reactor: object
@@ -90,6 +91,7 @@
     uniform: Callable[[], float]
     batch_delay_s: float = 0.0
     version: int | None = None
+    era: int = 0
     _run_number: int = 0
     _answered: bool = False
     _fresh: bool = False
@@ -172,7 +174,7 @@
         waits = self._answered
         if self.version is None:
             read: RowBatch = yield self.store.read_rows(self.table)
-            self.version = read.version
+            self.version, self.era = read.version, read.era
             self.on_rows(read.rows, True)
         else:
             plan = self.plan_call(self._failures)
@@ -180,6 +182,7 @@
             read = yield self.store.wait_for_changes(
                 self.table,
                 self.version,
+                self.era,
                 plan.wait / MICROS_PER_SECOND if waits else 0.0,
                 plan.timeout / MICROS_PER_SECOND,
                 reuse=not fresh,
--- a/packages/almondgap-daemon/almondgap_daemon/platform/store.py
+++ b/packages/almondgap-daemon/almondgap_daemon/platform/store.py
@@ -50,10 +50,12 @@
     """Rows read from the store.
 
     :ivar version: store version from which to continue with changes.
+    :ivar era: era of the store to which the versions belong.
     """
 
     rows: tuple[StoreRow, ...]
     version: int
+    era: int = 0
 
 
 @define
@@ -79,19 +81,23 @@
     def read_rows(self, table: str):
         """Return all rows of a table as a :class:`RowBatch`.
 
+        :raises HistoryLost: the store was restored from a copy between two pages.
         :raises PlatformError: the call failed.
         """
         rows: list[StoreRow] = []
-        version = None
+        version = first_era = None
         query = {"table": table, "part": "", "limit": MAX_ROWS_PER_PAGE}
         while True:
-            data = yield self._get("/rows-get", query)
+            data, era = yield self._get("/rows-get", query)
+            first_era = era if first_era is None else first_era
+            if era != first_era:
+                raise HistoryLost(f"store went from era {first_era} to {era}")
             rows += _decode_rows(data, table)
             # The version of the first page counts: rows of later pages may be newer,
             # and are then returned once more as changes.
             version = _decode_version(data) if version is None else version
             if not data.get("has_more") or not rows:
-                return RowBatch(tuple(rows), version)
+                return RowBatch(tuple(rows), version, era)
             query["from"] = rows[-1].key + "\0"
 
     @inlineCallbacks
@@ -99,27 +105,32 @@
         self,
         table: str,
         after: int,
+        era: int,
         wait_s: float = 0.0,
         timeout_s: float = CALL_TIMEOUT_S,
         reuse: bool = True,
     ):
         """Return the rows that changed after a version, as a :class:`RowBatch`.
 
+        :param era: era of the store to which that version belongs.
         :param wait_s: time to wait for a change, in seconds; 0 returns at once.
         :param timeout_s: time-out beyond that, in seconds.
         :param reuse: whether the call may use a connection that was idle.
-        :raises HistoryLost: the store has discarded these changes, or counts its
-            versions anew.
+        :raises HistoryLost: the store has discarded these changes, counts its versions
+            anew, or was restored from a copy.
         :raises PlatformError: the call failed.
         """
         query = {"table": table, "after": after, "wait_ms": round(wait_s * 1000)}
         if not reuse:
             self._pool.close()
-        data = yield self._get("/rows-feed", query, wait_s + timeout_s)
+        answer = yield self._get("/rows-feed", query, wait_s + timeout_s)
+        data, answer_era = answer
+        if answer_era != era:
+            raise HistoryLost(f"store is in era {answer_era}, not {era}")
         version = _decode_version(data)
         if version < after:
             raise HistoryLost(f"store is at version {version}, before {after}")
-        return RowBatch(tuple(_decode_rows(data, table)), version)
+        return RowBatch(tuple(_decode_rows(data, table)), version, era)
 
     @inlineCallbacks
     def write_row(self, table: str, key: str, value: bytes):
@@ -157,7 +168,7 @@
             raise HistoryLost(f"{path}: change history is no longer available")
         if response.status != 200:
             raise PlatformUnavailable(f"{path}: status {response.status}")
-        return _decode_body(response)
+        return _decode_body(response), _parse_era(response)
 
     @inlineCallbacks
     def _call(self, method: bytes, target: str, body: bytes, timeout: float):
--- a/packages/almondgap-testkit/almondgap_testkit/gateways/followers.py
+++ b/packages/almondgap-testkit/almondgap_testkit/gateways/followers.py
@@ -9,7 +9,7 @@
 import json
 import random
 
-from attrs import Factory, define, field
+from attrs import Factory, define, field, frozen
 from twisted.internet.defer import Deferred
 from twisted.internet.task import Clock
 
@@ -48,19 +48,31 @@
     host: str
     table: str
     after: int
+    era: int
     answer: Deferred
 
 
+@frozen
+class StoreCopy:
+    """A copy of a model store's rows."""
+
+    version: int
+    rows: dict[tuple[str, str], StoreRow]
+    history: list[StoreRow]
+
+
 @define
 class ModelStore:
     """Rows of a store with a single version counter.
 
+    :ivar era: rises when the store is restored from a copy.
     :ivar silent: hosts whose calls are not answered.
     :ivar calls: number of calls of each host.
     """
 
     clock: Clock
     version: int = 0
+    era: int = 1
     rows: dict[tuple[str, str], StoreRow] = Factory(dict)
     history: list[StoreRow] = Factory(list)
     silent: set[str] = Factory(set)
@@ -82,6 +94,18 @@
         self.silent |= set(hosts)
         self._waiting = [call for call in self._waiting if call.host not in self.silent]
 
+    def copy(self) -> StoreCopy:
+        """Return a copy of the rows."""
+        return StoreCopy(self.version, dict(self.rows), list(self.history))
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Go back to a copy; the calls that are open are lost."""
+        self._waiting.clear()
+        self.version = copy.version
+        self.rows = dict(copy.rows)
+        self.history = list(copy.history)
+        self.era += 1
+
     def restart(self) -> None:
         """Count versions anew, with the rows that there are."""
         self.history.clear()
@@ -96,17 +120,24 @@
 
         def read() -> RowBatch:
             rows = [row for row in self.rows.values() if row.table == table]
-            return RowBatch(tuple(row for row in rows if row.value), self.version)
+            values = tuple(row for row in rows if row.value)
+            return RowBatch(values, self.version, self.era)
 
         self._schedule(host, answer, read)
         return answer
 
     def wait(
-        self, host: str, table: str, after: int, wait_s: float, timeout_s: float
+        self,
+        host: str,
+        table: str,
+        after: int,
+        era: int,
+        wait_s: float,
+        timeout_s: float,
     ) -> Deferred:
         """Wait for changes of a table for a host."""
         answer = self._begin(host, wait_s + timeout_s)
-        call = WaitingCall(host, table, after, answer)
+        call = WaitingCall(host, table, after, era, answer)
         if wait_s and not self._list_changes(call):
             if host not in self.silent:
                 self._waiting.append(call)
@@ -141,9 +172,9 @@
             self._schedule(call.host, call.answer, lambda: self._build_batch(call))
 
     def _build_batch(self, call: WaitingCall) -> RowBatch:
-        if self.version < call.after:
+        if self.version < call.after or self.era != call.era:
             raise HistoryLost("versions count anew")
-        return RowBatch(tuple(self._list_changes(call)), self.version)
+        return RowBatch(tuple(self._list_changes(call)), self.version, self.era)
 
     def _list_changes(self, call: WaitingCall) -> list[StoreRow]:
         return [
@@ -171,10 +202,16 @@
         return self.store.read(self.host, table)
 
     def wait_for_changes(
-        self, table: str, after: int, wait_s: float, timeout_s: float, reuse: bool
+        self,
+        table: str,
+        after: int,
+        era: int,
+        wait_s: float,
+        timeout_s: float,
+        reuse: bool,
     ) -> Deferred:
         """Return the rows that changed after a version."""
-        return self.store.wait(self.host, table, after, wait_s, timeout_s)
+        return self.store.wait(self.host, table, after, era, wait_s, timeout_s)
 
 
 @define(eq=False)
--- a/packages/almondgap-testkit/almondgap_testkit/standins/store.py
+++ b/packages/almondgap-testkit/almondgap_testkit/standins/store.py
@@ -197,8 +197,13 @@
 
     def write(self, request):
         """Write rows as an operator or a target; a value of None removes one."""
+        self._write(json.loads(request.content.read()))
+        self._wake()
+        return answer_json(request, {"ver": self.rows.version})
+
+    def _write(self, rows: list[dict[str, Any]]) -> None:
         writes, deletes = [], []
-        for row in json.loads(request.content.read()):
+        for row in rows:
             name = {"table": row["table"], "part": "", "key": row["key"]}
             if row["value"] is None:
                 deletes.append(name)
@@ -208,8 +213,6 @@
                 encoded = base64.b64encode(raw.encode()).decode()
                 writes.append({**name, "value": encoded})
         self.rows.apply({"writes": writes, "deletes": deletes})
-        self._wake()
-        return answer_json(request, {"ver": self.rows.version})
 
     def set_faults(self, request):
         """Set what goes wrong."""
@@ -229,8 +232,10 @@
         return b""
 
     def restore(self, request):
-        """Go back to the copy."""
+        """Go back to the copy, then write rows, each in a transaction of its own."""
         self.rows.restore(self.saved)
+        for row in json.loads(request.content.read()):
+            self._write([row])
         self._wake()
         return b""
 
--- a/tests/daemon/gateway/test_watcher.py
+++ b/tests/daemon/gateway/test_watcher.py
@@ -24,6 +24,33 @@
 CHANGE_S, RETURN_S = 2.0, 1.0
 
 
+class RestoreTests(TestCase):
+    """A store that comes back from a copy, whose versions are given out again."""
+
+    def test_host_that_was_cut_off_reads_rows_below_the_version_it_knew(self):
+        for missed in ((), ("h2",), ("h5",), ("h2", "h3", "h4"), tuple(FLEET)):
+            with self.subTest(missed=missed):
+                followers = Followers.start(**FLEET)
+                copy = followers.store.copy()
+                followers.configure(2)
+                for number in range(3):
+                    followers.store.write(TARGETS_TABLE, f"t{number}", b"{}")
+                followers.run(1.0)
+                followers.store.silence(*missed)
+                followers.store.restore(copy)
+                followers.configure(2)
+                followers.configure(3)
+                for number in range(9):
+                    followers.store.write(TARGETS_TABLE, f"t{number}", b"{}")
+                followers.run(1.0)
+                followers.store.silent.clear()
+                # A call that was lost ends 2.7 s after it began at the latest.
+                followers.run(2.7 + RETURN_S)
+                self.assertEqual(
+                    followers.list_versions(), dict.fromkeys(followers.hosts, 3)
+                )
+
+
 class SilenceTests(TestCase):
     def start(self, **failure_domains: str) -> Followers:
         return Followers.start(**(failure_domains or FLEET))
