Compare what hosts have read of the store with its era

Cause: hosts tell each other row versions, which a restored store gives out again; a claim from before the restore names a row that the store no longer has. Such a host isn't listened to for a second, then for two, up to a minute. And the other way round: a lower version of the new era says nothing to a host that knows a higher one of the old, so a host whose call hangs doesn't hear from the others that the store is back.

Now a version counts after its era, in claims and in what is told; a host that hears of a newer era reads again, and a claim of an era that the store doesn't have is refuted as before.

--- a/packages/almondgap-core/almondgap_core/gateway/events.py
+++ b/packages/almondgap-core/almondgap_core/gateway/events.py
@@ -193,12 +193,14 @@
     :ivar read_up_to: store version up to which the table is known.
     :ivar newest_row: newest version among the rows read, 0 without rows.
     :ivar asked_at: when the call was sent.
+    :ivar era: era of the store to which the versions belong.
     """
 
     table: StoreTable
     read_up_to: int
     newest_row: int
     asked_at: int
+    era: int = 0
 
 
 @frozen
--- a/packages/almondgap-core/almondgap_core/gateway/heartbeats.py
+++ b/packages/almondgap-core/almondgap_core/gateway/heartbeats.py
@@ -45,12 +45,14 @@
     :ivar versions: newest row version read of each table, in the order of
         ``StoreTable``.
     :ivar outages: number of outages of the store that the host has seen end.
+    :ivar era: era of the store to which the versions belong.
     """
 
     host: str
     incarnation: int
     versions: tuple[int, ...]
     outages: int
+    era: int = 0
 
 
 @frozen
--- a/packages/almondgap-core/almondgap_core/gateway/store_knowledge.py
+++ b/packages/almondgap-core/almondgap_core/gateway/store_knowledge.py
@@ -7,6 +7,9 @@
 from almondgap_core.gateway.events import StoreTable
 from almondgap_core.gateway.heartbeats import StoreView
 
+#: Era of the store and version of a row in it, which compare in this order.
+RowVersion = tuple[int, int]
+
 
 @define
 class Claimant:
@@ -20,7 +23,7 @@
 
     view: StoreView
     claimed_at: dict[StoreTable, int] = Factory(dict)
-    refuted: dict[StoreTable, int] = Factory(dict)
+    refuted: dict[StoreTable, RowVersion] = Factory(dict)
     misses: int = 0
     ignored_until: int = 0
 
@@ -30,7 +33,8 @@
     """What this host has read of the store, and what peers claim to have read.
 
     :ivar read_up_to: store version up to which this host knows a table.
-    :ivar newest_rows: newest row version read, by table.
+    :ivar eras: era of the store to which what is known of a table belongs.
+    :ivar newest_rows: newest row version read in that era, by table.
     :ivar outages: number of outages that this host has seen end.
     :ivar is_monitor: whether this host watches for silences of the store.
     :ivar behind_since: when a claim beyond the own version was first heard, by table.
@@ -43,6 +47,7 @@
     """
 
     read_up_to: dict[StoreTable, int] = Factory(dict)
+    eras: dict[StoreTable, int] = Factory(dict)
     newest_rows: dict[StoreTable, int] = Factory(dict)
     outages: int = 0
     is_monitor: bool = False
@@ -52,3 +57,12 @@
     next_send_at: int = 0
     announce_to_all: bool = False
     announce_to_regions: bool = False
+
+    @property
+    def era(self) -> int:
+        """Newest era of the store that this host has read."""
+        return max(self.eras.values(), default=0)
+
+    def get_known(self, table: StoreTable) -> RowVersion:
+        """Return up to where a table is known."""
+        return self.eras.get(table, 0), self.read_up_to.get(table, 0)
--- a/packages/almondgap-core/almondgap_core/gateway/store_views.py
+++ b/packages/almondgap-core/almondgap_core/gateway/store_views.py
@@ -3,7 +3,8 @@
 Handles a store that falls silent while calls wait for its changes: such a call is never
 answered, even after the store is back, and its host would go on with old rows beside
 hosts that know better. Each host tells those of its region the newest row version that
-it has read of each table; a host that hears of a newer one reads again at once. One
+it has read of each table; a host that hears of a newer one reads again at once. A store
+that was restored from a copy gives versions out again, so they count with its era. One
 host of the fleet, the monitor, waits for short times only, so that it notices a silence
 of the whole store; when the store answers it again, it tells all hosts, which then
 renew their calls.
@@ -27,7 +28,7 @@
 from almondgap_core.gateway.ranking import compute_rank
 from almondgap_core.gateway.reports import ClaimRefuted, StoreChanged, TableBehind
 from almondgap_core.gateway.state import GatewayState, Peer
-from almondgap_core.gateway.store_knowledge import Claimant
+from almondgap_core.gateway.store_knowledge import Claimant, RowVersion
 from almondgap_core.units import MICROS_PER_MILLI, millis, seconds
 
 #: Interval at which a host tells the hosts of its region what it has read.
@@ -121,9 +122,11 @@
     """Record what was read, and refute claims beyond it."""
     knowledge = state.store_knowledge
     table = event.table
-    if event.read_up_to < knowledge.read_up_to.get(table, 0):
-        # The store lost its rows and counts anew.
+    is_new_era = event.era != knowledge.eras.get(table, event.era)
+    if is_new_era or event.read_up_to < knowledge.read_up_to.get(table, 0):
+        # The store counts its versions anew.
         knowledge.newest_rows.pop(table, None)
+    knowledge.eras[table] = event.era
     knowledge.read_up_to[table] = event.read_up_to
     if event.newest_row > knowledge.newest_rows.get(table, 0):
         knowledge.newest_rows[table] = event.newest_row
@@ -133,7 +136,7 @@
     for claimant in knowledge.claimants.values():
         claim = _get_claim(claimant.view, table)
         is_older = claimant.claimed_at.get(table, event.now) < event.asked_at
-        is_false = claim > event.read_up_to and is_older
+        is_false = claim > (event.era, event.read_up_to) and is_older
         if is_false and claim != claimant.refuted.get(table):
             _distrust(state, claimant, table, claim, event.now)
 
@@ -194,17 +197,17 @@
 
 def _check_claims(state: GatewayState, table: StoreTable, now: int) -> None:
     knowledge = state.store_knowledge
-    own = knowledge.read_up_to.get(table)
-    if own is None:
+    if table not in knowledge.read_up_to:
         # The first read of the table is under way.
         return
+    own = knowledge.get_known(table)
     claims = [
         _get_claim(claimant.view, table)
         for claimant in knowledge.claimants.values()
         if now >= claimant.ignored_until
         and _get_claim(claimant.view, table) != claimant.refuted.get(table)
     ]
-    claim = max(claims, default=0)
+    claim = max(claims, default=(0, 0))
     if claim <= own:
         knowledge.behind_since.pop(table, None)
         return
@@ -212,7 +215,7 @@
     if now - since < CLAIM_GRACE_US or now < knowledge.next_read_at.get(table, 0):
         return
     behind_ms = (now - since) // MICROS_PER_MILLI
-    state.report(TableBehind(table.value, own, claim, behind_ms))
+    state.report(TableBehind(table.value, own[1], claim[1], behind_ms))
     _read_again(state, table, now)
 
 
@@ -222,13 +225,17 @@
 
 
 def _distrust(
-    state: GatewayState, claimant: Claimant, table: StoreTable, claim: int, now: int
+    state: GatewayState,
+    claimant: Claimant,
+    table: StoreTable,
+    claim: RowVersion,
+    now: int,
 ) -> None:
     claimant.refuted[table] = claim
     distrust = min(MIN_DISTRUST_US << min(claimant.misses, 10), MAX_DISTRUST_US)
     claimant.misses += 1
     claimant.ignored_until = now + distrust
-    state.report(ClaimRefuted(claimant.view.host, table.value, claim))
+    state.report(ClaimRefuted(claimant.view.host, table.value, claim[1]))
 
 
 def _send_view(state: GatewayState, now: int) -> None:
@@ -246,9 +253,13 @@
     knowledge.announce_to_all = knowledge.announce_to_regions = False
     if not peers:
         return
-    versions = tuple(knowledge.newest_rows.get(table, 0) for table in StoreTable)
+    era = knowledge.era
+    versions = tuple(
+        knowledge.newest_rows.get(table, 0) if knowledge.eras.get(table) == era else 0
+        for table in StoreTable
+    )
     view = StoreView(
-        state.location.host, state.incarnation, versions, knowledge.outages
+        state.location.host, state.incarnation, versions, knowledge.outages, era
     )
     addresses = tuple(peer.location.peer_address for peer in peers)
     state.perform(SendStoreView(view, addresses))
@@ -265,9 +276,10 @@
     return list(picked.values())
 
 
-def _get_claim(view: StoreView, table: StoreTable) -> int:
+def _get_claim(view: StoreView, table: StoreTable) -> RowVersion:
     position = list(StoreTable).index(table)
-    return view.versions[position] if position < len(view.versions) else 0
+    version = view.versions[position] if position < len(view.versions) else 0
+    return view.era, version
 
 
 EVENT_HANDLERS: dict[type[GatewayEvent], object] = {
--- a/packages/almondgap-daemon/almondgap_daemon/gateway/messages.py
+++ b/packages/almondgap-daemon/almondgap_daemon/gateway/messages.py
@@ -84,7 +84,7 @@
             message.tokens,
         )
     elif isinstance(message, StoreView):
-        fields = (message.host, message.incarnation, message.versions, message.outages)
+        fields = astuple(message)
     elif isinstance(message, NamedLimits):
         limits = [astuple(limit) for limit in message.limits]
         fields = (message.host, limits)
@@ -143,11 +143,12 @@
     TokenRequest: lambda reply_to, account, correlation_id, tokens: TokenRequest(
         str(reply_to), str(account), int(correlation_id), float(tokens)
     ),
-    StoreView: lambda host, incarnation, versions, outages: StoreView(
+    StoreView: lambda host, incarnation, versions, outages, era=0: StoreView(
         str(host),
         int(incarnation),
         tuple(int(version) for version in versions),
         int(outages),
+        int(era),
     ),
     TokenResponse: lambda account, correlation_id, tokens: TokenResponse(
         str(account), int(correlation_id), float(tokens)
--- a/packages/almondgap-daemon/almondgap_daemon/gateway/watcher.py
+++ b/packages/almondgap-daemon/almondgap_daemon/gateway/watcher.py
@@ -67,9 +67,8 @@
 
     :ivar on_rows: called with the rows that were read, and whether they are all rows
         of the table.
-    :ivar on_read: called after each successful call with the store version up to
-        which the table is known, the newest version among the rows of the call, 0
-        without any, and the time at which it was sent, in seconds.
+    :ivar on_read: called after each successful call with what it read, and the time
+        at which it was sent, in seconds.
     :ivar on_call_result: called after each call with the error, or None.
     :ivar on_internal_error: called with an exception that was not expected.
     :ivar plan_call: returns how long a call takes, given the number of calls that
@@ -84,7 +83,7 @@
     store: StoreClient
     table: str
     on_rows: Callable[[tuple[StoreRow, ...], bool], None]
-    on_read: Callable[[int, int, float], None]
+    on_read: Callable[[RowBatch, float], None]
     on_call_result: Callable[[str | None], None]
     on_internal_error: Callable[[Exception], None]
     plan_call: Callable[[int], CallPlan]
@@ -191,8 +190,7 @@
             if read.rows:
                 self.on_rows(read.rows, False)
         self._answered = True
-        newest_row = max((row.version for row in read.rows), default=0)
-        self.on_read(read.version, newest_row, self._call_started_s)
+        self.on_read(read, self._call_started_s)
         if self.batch_delay_s and waits and read.rows:
             # Changes tend to come in bursts; the next call then returns them together.
             self._batching = True
@@ -260,13 +258,14 @@
             self.store,
             name,
             on_rows=handler,
-            on_read=lambda read_up_to, newest_row, asked_s: self.feed(
+            on_read=lambda read, asked_s: self.feed(
                 TableRead(
                     self.now(),
                     table,
-                    read_up_to,
-                    newest_row,
+                    read.version,
+                    max((row.version for row in read.rows), default=0),
                     round(asked_s * MICROS_PER_SECOND),
+                    read.era,
                 )
             ),
             on_call_result=lambda error: self._record_call_result(table, error),
--- a/packages/almondgap-testkit/almondgap_testkit/gateways/followers.py
+++ b/packages/almondgap-testkit/almondgap_testkit/gateways/followers.py
@@ -14,7 +14,7 @@
 from twisted.internet.task import Clock
 
 from almondgap_core.exceptions import PlatformAnswerLost
-from almondgap_core.gateway.effects import ReadTable, SendHeartbeat, SendStoreView
+from almondgap_core.gateway.effects import Log, ReadTable, SendHeartbeat, SendStoreView
 from almondgap_core.gateway.events import (
     GatewayEvent,
     HeartbeatReceived,
@@ -297,7 +297,9 @@
 
     def _perform(self, host: str, effects) -> None:
         for effect in effects:
-            if isinstance(effect, ReadTable):
+            if isinstance(effect, Log):
+                self.hosts[host].reports.append(effect.report)
+            elif isinstance(effect, ReadTable):
                 self.hosts[host].watcher.read_table(effect.table)
             elif isinstance(effect, SendHeartbeat):
                 self._send(host, effect, HeartbeatReceived, effect.heartbeat)
--- a/tests/daemon/gateway/test_messages.py
+++ b/tests/daemon/gateway/test_messages.py
@@ -11,6 +11,7 @@
     Heartbeat,
     NamedLimit,
     NamedLimits,
+    StoreView,
 )
 from almondgap_daemon.gateway.messages import (
     TokenRequest,
@@ -27,6 +28,7 @@
             Heartbeat(build_location(), 5, 6, True, 7),
             TokenRequest("h1:90", "one", 4, 3.0),
             TokenResponse("one", 4, 0.0),
+            StoreView("h1", 5, (6, 7), 8, 2),
             NamedLimits(
                 "h1", (NamedLimit("t1", 5, 2.5, 6), NamedLimit("t2", 5, inf, 0))
             ),
--- a/tests/daemon/gateway/test_watcher.py
+++ b/tests/daemon/gateway/test_watcher.py
@@ -7,6 +7,7 @@
 from twisted.internet.task import Clock
 
 from almondgap_core.gateway.events import StoreTable
+from almondgap_core.gateway.reports import ClaimRefuted
 from almondgap_core.gateway.store_views import CallPlan, find_monitor
 from almondgap_core.units import millis, seconds
 from almondgap_daemon.gateway.watcher import TableWatcher
@@ -50,6 +51,33 @@
                     followers.list_versions(), dict.fromkeys(followers.hosts, 3)
                 )
 
+    def test_honest_hosts_are_not_distrusted(self):
+        followers = Followers.start(**FLEET)
+        copy = followers.store.copy()
+        for version in range(2, 6):
+            followers.configure(version)
+        followers.run(1.5)
+        followers.store.restore(copy)
+        followers.configure(5)
+        followers.run(8.0)
+        for host, follower in followers.hosts.items():
+            refuted = [x for x in follower.reports if isinstance(x, ClaimRefuted)]
+            self.assertEqual(refuted, [], host)
+
+    def test_host_hears_from_others_that_the_store_was_restored(self):
+        followers = Followers.start(**FLEET)
+        copy = followers.store.copy()
+        for version in range(2, 6):
+            followers.configure(version)
+        followers.run(1.5)
+        # The calls of all but h1 and h4 wait for an answer that is lost.
+        followers.store.restore(copy)
+        followers.configure(7)
+        for host in ("h1", "h4"):
+            followers.hosts[host].watcher.read_table(StoreTable.OPERATORS)
+        followers.run(CHANGE_S)
+        self.assertEqual(followers.list_versions(), dict.fromkeys(FLEET, 7))
+
 
 class SilenceTests(TestCase):
     def start(self, **failure_domains: str) -> Followers:
