Write a host's own row again after the store was restored

A host that registered in the seconds that a restored store lost is not in its list any more: hosts that start later don't find it, send it no heartbeats, direct no callers to it and divide limits without it. A host that removed its row in that time is listed again, and counts as a member for 15 s at each host that starts. Cause: each host writes its row once and removes it once.

The row is written or removed again when an answer names a new era; the list is read again with it, so of any two hosts the later one finds the other. The stand-in cuts off calls that wait when it goes back to a copy, as the users' store does.

--- a/packages/almondgap-daemon/almondgap_daemon/gateway/process.py
+++ b/packages/almondgap-daemon/almondgap_daemon/gateway/process.py
@@ -198,8 +198,7 @@
         self.stopping_since = self.reactor.seconds()
         self.callers.closing = True
         self.runtime.feed(StopRequested(self.runtime.now()))
-        deletion = self.store.delete_row(HOSTS_TABLE, self.cfg.place.host)
-        deletion.addErrback(self._report_platform_error, "row of this host stays")
+        self._unregister()
 
     def reload(self) -> None:
         """Apply the settings that can change at run time; ignore the others."""
@@ -291,8 +290,17 @@
             self._add_hosts(batch.rows)
             return
 
+    def _unregister(self) -> None:
+        deletion = self.store.delete_row(HOSTS_TABLE, self.cfg.place.host)
+        deletion.addErrback(self._report_platform_error, "row of this host stays")
+
     def _handle_store_restored(self, era: int) -> None:
+        """Write or remove this host's row again, since the copy may be older."""
         self.runtime.feed(StoreRestored(self.runtime.now(), era))
+        if self.stopping_since is None:
+            self._register()
+        else:
+            self._unregister()
 
     def _add_hosts(self, rows) -> None:
         places = []
--- a/packages/almondgap-testkit/almondgap_testkit/standins/store.py
+++ b/packages/almondgap-testkit/almondgap_testkit/standins/store.py
@@ -17,6 +17,7 @@
 from twisted.internet import reactor
 from twisted.internet.defer import Deferred
 from twisted.internet.task import deferLater
+from twisted.web.server import NOT_DONE_YET
 
 from almondgap_testkit.standins.serving import answer_json, listen, run
 
@@ -179,7 +180,11 @@
         table, after = _argument(request, "table"), int(_argument(request, "after"))
         wait_s = min(int(_argument(request, "wait_ms", "0")), MAX_WAIT_MS) / 1000
         end = reactor.seconds() + wait_s
+        era = self.rows.era
         while True:
+            if self.rows.era != era:
+                request.transport.abortConnection()
+                return NOT_DONE_YET
             if not await self._begin(request):
                 return b""
             rows = self.rows.list_changes(table, after)
@@ -232,7 +237,10 @@
         return b""
 
     def restore(self, request):
-        """Go back to the copy, then write rows, each in a transaction of its own."""
+        """Go back to the copy, then write rows, each in a transaction of its own.
+
+        Calls that wait for changes are cut off.
+        """
         self.rows.restore(self.saved)
         for row in json.loads(request.content.read()):
             self._write([row])
--- a/tests/daemon/gateway/test_restored_store.py
+++ b/tests/daemon/gateway/test_restored_store.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import json
+
 from almondgap_testkit.gateways.site import CONFIGURATION, Site
 from tests.daemon.gateway.site_case import SiteTestCase
 
@@ -22,6 +24,12 @@
     site.post(f"http://{site.store}/control/save", None)
 
 
+def has_row(site: Site, host: str) -> bool:
+    """Return whether the store has the row of a host."""
+    state = json.loads(site.get(f"http://{site.store}/control/state").body)
+    return f"almondgap-hosts//{host}" in state["rows"]
+
+
 class RestoredStoreTests(SiteTestCase):
     def test_restored_store_is_told_from_one_that_was_away(self):
         site = self.start()
@@ -49,3 +57,20 @@
             return [line["version"] for line in events]
 
         site.wait_until(lambda: 6 in find_versions(), timeout=4)
+
+    def test_row_of_a_host_that_the_copy_lacks_is_written_again(self):
+        site = self.start(())
+        save(site)
+        site.start_host("h1")
+        restore(site)
+        site.wait_until(lambda: has_row(site, "h1"), timeout=4)
+
+    def test_row_of_a_host_that_stops_is_removed_again(self):
+        site = self.start(("h1",))
+        site.wait_until(lambda: has_row(site, "h1"))
+        save(site)
+        site.processes["h1"].terminate()
+        site.wait_until(lambda: not has_row(site, "h1"), timeout=2)
+        restore(site)
+        self.assertEqual(site.processes["h1"].wait(5), 0)
+        self.assertFalse(has_row(site, "h1"))
