Keep targets that a restored store lacks until they announce themselves

A target that joined in the seconds that a restored store lost is not in the copy. Cause: the time that targets get to announce themselves again began with the end of an outage only.

The test failed with the target gone at once; now a restored store counts as one that came back, and the target is dropped if it isn't announced again in time.

--- a/packages/almondgap-core/almondgap_core/gateway/discovery.py
+++ b/packages/almondgap-core/almondgap_core/gateway/discovery.py
@@ -12,6 +12,7 @@
     GatewayEvent,
     StoreLost,
     StoreRegained,
+    StoreRestored,
     TargetAnnounced,
     TargetsRead,
     TargetWithdrawn,
@@ -150,6 +151,11 @@
     state.report(StoreChanged("regained", f"was unavailable for {outage // 1000} ms"))
 
 
+def handle_store_restored(state: GatewayState, event: StoreRestored) -> None:
+    """Give targets that the copy lacks time to announce themselves again."""
+    state.store_regained = event.now
+
+
 def _extend_warmup(target: Target, announcement: Announcement, now: int) -> None:
     if announcement.warmup_left > 0:
         warmup_until = now + announcement.warmup_left + WARMUP_MARGIN_US
@@ -182,5 +188,6 @@
     EvacuationsRead: handle_evacuations,
     StoreLost: handle_store_lost,
     StoreRegained: handle_store_regained,
+    StoreRestored: handle_store_restored,
     Ticked: handle_tick,
 }
--- a/tests/core/gateway/test_discovery.py
+++ b/tests/core/gateway/test_discovery.py
@@ -9,6 +9,7 @@
     EvacuationsRead,
     StoreLost,
     StoreRegained,
+    StoreRestored,
     TargetAnnounced,
     TargetsRead,
     TargetWithdrawn,
@@ -111,3 +112,16 @@
             sends += len(harness.find(Send))
         self.assertGreater(sends, 0)
         self.assertLessEqual(sends, 5)
+
+
+class RestoredStoreTests(TestCase):
+    """Snapshots of a store that came back from a copy."""
+
+    def test_target_that_the_copy_lacks_stays_in_use_until_it_announces_itself(self):
+        harness = GatewayHarness.build((announce("t1"), announce("t2")))
+        harness.feed(StoreRestored, 2)
+        harness.feed(TargetsRead, (announce("t2"),))
+        self.assertIn("t1", harness.state.targets)
+        harness.now += harness.state.bounds.reannounce_time
+        harness.feed(Ticked)
+        self.assertNotIn("t1", harness.state.targets)
