Use no target again that had left before the store was restored

The copy from which a store is restored lists targets that have left since, as ready. A host that had dropped such a target took it for a new one and sent it requests, while it was leaving or after its address had gone to another service. Cause: once a target was dropped nothing was left to tell its old row from a new one.

The test failed with the target in use. Hosts remember the last announcement of targets dropped within a minute; after a restore none of these is used again until it announces something newer, in a new run or with a higher sequence.

--- a/packages/almondgap-core/almondgap_core/gateway/discovery.py
+++ b/packages/almondgap-core/almondgap_core/gateway/discovery.py
@@ -26,7 +26,11 @@
 from almondgap_core.gateway.state import GatewayState
 from almondgap_core.gateway.store_views import record_outage_end
 from almondgap_core.gateway.target import Announcement, Target
-from almondgap_core.units import millis
+from almondgap_core.units import millis, seconds
+
+#: Time for which removed targets are remembered: longer than the age of a copy from
+#: which the store is restored.
+DEPARTED_TTL_US = seconds(60)
 
 #: Time by which an announced warm-up is extended, for the delay of the announcement.
 WARMUP_MARGIN_US = millis(200)
@@ -58,6 +62,9 @@
     state.missing_targets.pop(announcement.target, None)
     target = state.targets.get(announcement.target)
     if target is None:
+        outdated = state.outdated_announcements.get(announcement.target)
+        if outdated is not None and announcement.age <= outdated:
+            return
         target = Target(announcement, known_since=now)
         state.targets[announcement.target] = target
         _extend_warmup(target, announcement, now)
@@ -66,8 +73,7 @@
     previous = target.announcement
     if announcement == previous:
         return
-    age = (announcement.incarnation, announcement.sequence)
-    if age < (previous.incarnation, previous.sequence):
+    if announcement.age < previous.age:
         _report(state, target, "ignored", "announcement is older than the known one")
         return
     target.announcement = announcement
@@ -97,7 +103,7 @@
     elif regained is not None and now < regained + state.bounds.reannounce_time:
         state.missing_targets[name] = regained + state.bounds.reannounce_time
     else:
-        _remove(state, name, "withdrawn")
+        _remove(state, name, "withdrawn", now)
 
 
 def handle_tick(state: GatewayState, event: Ticked) -> None:
@@ -109,7 +115,8 @@
         for name, deadline in state.missing_targets.items()
         if event.now >= deadline
     ]:
-        _remove(state, name, "announcement not renewed after the store outage")
+        cause = "announcement not renewed after the store outage"
+        _remove(state, name, cause, event.now)
 
 
 def handle_evacuations(state: GatewayState, event: EvacuationsRead) -> None:
@@ -152,8 +159,16 @@
 
 
 def handle_store_restored(state: GatewayState, event: StoreRestored) -> None:
-    """Give targets that the copy lacks time to announce themselves again."""
+    """Give targets that the copy lacks time to announce themselves again.
+
+    The copy may also list targets that have left since.
+    """
     state.store_regained = event.now
+    state.outdated_announcements = {
+        name: announcement.age
+        for name, (announcement, removed_at) in state.departed_targets.items()
+        if event.now - removed_at < DEPARTED_TTL_US
+    }
 
 
 def _extend_warmup(target: Target, announcement: Announcement, now: int) -> None:
@@ -162,9 +177,18 @@
         target.warmup_until = max(target.warmup_until, warmup_until)
 
 
-def _remove(state: GatewayState, name: str, cause: str) -> None:
+def _remember_departed(state: GatewayState, target: Target, now: int) -> None:
+    departed = state.departed_targets
+    departed.pop(target.name, None)
+    departed[target.name] = (target.announcement, now)
+    while now - next(iter(departed.values()))[1] >= DEPARTED_TTL_US:
+        del departed[next(iter(departed))]
+
+
+def _remove(state: GatewayState, name: str, cause: str, now: int) -> None:
     state.missing_targets.pop(name, None)
     target = state.targets.pop(name)
+    _remember_departed(state, target, now)
     state.perform(CloseIdleConnections(name))
     _record_change(state, target, "gone", cause)
 
--- a/packages/almondgap-core/almondgap_core/gateway/state.py
+++ b/packages/almondgap-core/almondgap_core/gateway/state.py
@@ -18,7 +18,12 @@
 from almondgap_core.gateway.reports import Report
 from almondgap_core.gateway.retry_budget import RetryBudget
 from almondgap_core.gateway.store_knowledge import StoreKnowledge
-from almondgap_core.gateway.target import DecayingAverage, FailureShare, Target
+from almondgap_core.gateway.target import (
+    Announcement,
+    DecayingAverage,
+    FailureShare,
+    Target,
+)
 from almondgap_core.gateway.token_bucket import TokenBucket, Tolerance
 from almondgap_core.units import seconds
 
@@ -131,6 +136,10 @@
         regions, with the epoch for which it holds.
     :ivar missing_targets: targets that the store no longer lists, with the time at
         which they are dropped.
+    :ivar departed_targets: last announcements of targets that were removed a short time
+        ago, with the time of the removal.
+    :ivar outdated_announcements: incarnation and sequence of the last announcements of
+        targets that had left when the store was restored from a copy.
     :ivar store_lost: when the store stopped answering, None while it answers.
     :ivar store_regained: when the store last came back, None if it was never lost.
     :ivar store_knowledge: what this host and its peers have read of the store.
@@ -168,6 +177,8 @@
     rank_cache: dict[tuple, tuple[int, list[Target]]] = Factory(dict)
     region_weights_cache: dict[tuple, tuple[int, dict[str, float]]] = Factory(dict)
     missing_targets: dict[str, int] = Factory(dict)
+    departed_targets: dict[str, tuple[Announcement, int]] = Factory(dict)
+    outdated_announcements: dict[str, tuple[int, int]] = Factory(dict)
     store_lost: int | None = None
     store_regained: int | None = None
     store_knowledge: StoreKnowledge = Factory(StoreKnowledge)
--- a/packages/almondgap-core/almondgap_core/gateway/target.py
+++ b/packages/almondgap-core/almondgap_core/gateway/target.py
@@ -55,6 +55,11 @@
     draining: bool = False
     warmup_left: int = 0
 
+    @property
+    def age(self) -> tuple[int, int]:
+        """Incarnation and sequence, by which announcements of a target are ordered."""
+        return self.incarnation, self.sequence
+
 
 @define
 class DecayingAverage:
--- a/tests/core/gateway/test_discovery.py
+++ b/tests/core/gateway/test_discovery.py
@@ -125,3 +125,19 @@
         harness.now += harness.state.bounds.reannounce_time
         harness.feed(Ticked)
         self.assertNotIn("t1", harness.state.targets)
+
+    def test_target_that_had_left_is_not_used_again(self):
+        for state in ({}, {"draining": True}):
+            harness = GatewayHarness.build((announce("t1"), announce("t2")))
+            left = announce("t1", sequence=4, **state)
+            harness.feed(TargetAnnounced, left)
+            harness.feed(TargetWithdrawn, "t1")
+            harness.feed(StoreRestored, 2)
+            harness.feed(TargetsRead, (announce("t1", sequence=3), announce("t2")))
+            self.assertNotIn("t1", harness.state.targets)
+            harness.feed(TargetAnnounced, announce("t1", sequence=5))
+            self.assertIn("t1", harness.state.targets)
+            again = announce("t1", sequence=1, incarnation=2_000)
+            harness.feed(TargetWithdrawn, "t1")
+            harness.feed(TargetAnnounced, again)
+            self.assertIn("t1", harness.state.targets)
