Keep evacuations that a restored store lacks until they are written again

An evacuation acknowledged in the seconds that a restored store lost is not in the copy: hosts that read it before the operator has written it again sent requests into the evacuated failure domain, and took its targets through a warm-up. The test failed with the evacuation ended at once. It now ends with the time that targets get to announce themselves again, or goes on if it is listed by then; new ones count at once.

--- a/packages/almondgap-core/almondgap_core/gateway/discovery.py
+++ b/packages/almondgap-core/almondgap_core/gateway/discovery.py
@@ -107,7 +107,10 @@
 
 
 def handle_tick(state: GatewayState, event: Ticked) -> None:
-    """Remove targets whose announcements were not renewed in time."""
+    """End what waited for the store's rows to be written again."""
+    if state.evacuations_held_until and event.now >= state.evacuations_held_until:
+        state.evacuations_held_until = 0
+        _evacuate(state, state.listed_evacuations, event.now)
     if not state.missing_targets or state.store_lost is not None:
         return
     for name in [
@@ -122,20 +125,33 @@
 def handle_evacuations(state: GatewayState, event: EvacuationsRead) -> None:
     """Use no target of an evacuated failure domain.
 
+    An evacuation that a restored store lacks lasts until operators had time to write it
+    again.
+    """
+    state.listed_evacuations = event.failure_domains
+    if event.now < state.evacuations_held_until:
+        _evacuate(state, event.failure_domains | state.evacuated, event.now)
+    else:
+        _evacuate(state, event.failure_domains, event.now)
+
+
+def _evacuate(state: GatewayState, failure_domains: frozenset[str], now: int) -> None:
+    """Set the evacuated failure domains.
+
     Targets of a domain that is taken back into service go through a warm-up.
     """
-    if event.failure_domains == state.evacuated:
+    if failure_domains == state.evacuated:
         return
-    restored = state.evacuated - event.failure_domains
-    state.evacuated = event.failure_domains
+    restored = state.evacuated - failure_domains
+    state.evacuated = failure_domains
     state.targets_epoch += 1
     services = state.configuration.services if state.configuration else {}
     for target in state.targets.values():
         service = services.get(target.announcement.service)
         if target.announcement.failure_domain in restored and service is not None:
-            warmup_until = event.now + service.warmup_time + WARMUP_MARGIN_US
+            warmup_until = now + service.warmup_time + WARMUP_MARGIN_US
             target.warmup_until = max(target.warmup_until, warmup_until)
-    state.report(EvacuationChanged(tuple(sorted(event.failure_domains))))
+    state.report(EvacuationChanged(tuple(sorted(failure_domains))))
 
 
 def handle_store_lost(state: GatewayState, event: StoreLost) -> None:
@@ -159,11 +175,12 @@
 
 
 def handle_store_restored(state: GatewayState, event: StoreRestored) -> None:
-    """Give targets that the copy lacks time to announce themselves again.
+    """Give operators and targets time to write again what the copy lacks.
 
     The copy may also list targets that have left since.
     """
     state.store_regained = event.now
+    state.evacuations_held_until = event.now + state.bounds.reannounce_time
     state.outdated_announcements = {
         name: announcement.age
         for name, (announcement, removed_at) in state.departed_targets.items()
--- a/packages/almondgap-core/almondgap_core/gateway/state.py
+++ b/packages/almondgap-core/almondgap_core/gateway/state.py
@@ -129,6 +129,9 @@
     :ivar early_arrivals: requests that arrived before the store was read, by number.
     :ivar serving_since: when the first configuration came into force, in microseconds.
     :ivar evacuated: failure domains that must receive no requests.
+    :ivar listed_evacuations: failure domains that the store lists as evacuated.
+    :ivar evacuations_held_until: when an evacuation ends that a restored store does not
+        list.
     :ivar targets_epoch: changes whenever the set of usable targets does.
     :ivar rank_cache: targets in order of preference for an object, with the epoch for
         which the order holds.
@@ -172,6 +175,8 @@
     early_arrivals: dict[int, CallArrived] = Factory(dict)
     serving_since: int = 0
     evacuated: frozenset[str] = frozenset()
+    listed_evacuations: frozenset[str] = frozenset()
+    evacuations_held_until: int = 0
     targets: dict[str, Target] = Factory(dict)
     targets_epoch: int = 0
     rank_cache: dict[tuple, tuple[int, list[Target]]] = Factory(dict)
--- a/tests/core/gateway/test_discovery.py
+++ b/tests/core/gateway/test_discovery.py
@@ -141,3 +141,15 @@
             harness.feed(TargetWithdrawn, "t1")
             harness.feed(TargetAnnounced, again)
             self.assertIn("t1", harness.state.targets)
+
+    def test_evacuation_that_the_copy_lacks_lasts_until_it_is_written_again(self):
+        harness = GatewayHarness.build((announce("t1"),))
+        harness.feed(EvacuationsRead, frozenset({"a1"}))
+        harness.feed(StoreRestored, 2)
+        harness.feed(EvacuationsRead, frozenset({"b1"}))
+        self.assertEqual(harness.state.evacuated, {"a1", "b1"})
+        harness.now += harness.state.bounds.reannounce_time
+        harness.feed(Ticked)
+        self.assertEqual(harness.state.evacuated, {"b1"})
+        harness.feed(EvacuationsRead, frozenset())
+        self.assertEqual(harness.state.evacuated, frozenset())
