Take no answer of the store from before it was restored

An answer that was on its way while the store was restored counted as the newest: a poll went on with versions of the era before, and a write that it acknowledged was taken as done, though the copy lacks it. Cause: answers were not compared with what other calls had seen meanwhile. Both tests failed, the late answer being used. An answer of an earlier era than the newest seen is lost, its connection is closed, and the call is made again.

--- a/packages/almondgap-daemon/almondgap_daemon/platform/store.py
+++ b/packages/almondgap-daemon/almondgap_daemon/platform/store.py
@@ -190,8 +190,12 @@
             # The fault may affect the idle connections to the store as well.
             self._pool.close()
             raise PlatformAnswerLost(f"{target}: {exc!r}") from exc
+        era = _parse_era(response)
+        if 0 < era < self.era:
+            conn.abort()
+            raise PlatformAnswerLost(f"{target}: late answer of era {era}")
         self._pool.release("store", conn, MAX_IDLE_CONNECTIONS)
-        self._record_era(_parse_era(response))
+        self._record_era(era)
         return response
 
     def _record_era(self, era: int) -> None:
--- /dev/null
+++ b/tests/daemon/platform/test_store.py
@@ -0,0 +1,78 @@
+"""Answers of the platform's store, as its client takes them."""
+
+from __future__ import annotations
+
+import json
+from unittest import TestCase
+
+from attrs import Factory, define
+from twisted.internet.defer import Deferred
+from twisted.internet.task import Clock
+
+from almondgap_core.exceptions import PlatformAnswerLost
+from almondgap_daemon.http.response import Response
+from almondgap_daemon.platform.store import StoreClient
+
+
+@define
+class ScriptedPool:
+    """Connections whose calls are answered by the test, in order of the calls."""
+
+    calls: list[Deferred] = Factory(list)
+
+    def acquire(self, server: str, address: str):
+        return self
+
+    def send(self, request) -> Deferred:
+        self.calls.append(Deferred())
+        return self.calls[-1]
+
+    def abort(self) -> None:
+        pass
+
+    def release(self, server: str, conn, max_idle: int) -> None:
+        pass
+
+    def close(self) -> None:
+        pass
+
+    def answer(self, number: int, version: int, era: str) -> None:
+        """Answer a call."""
+        body = json.dumps({"rows": [], "has_more": False, "ver": version}).encode()
+        headers = [(b"Store-Era", era.encode())]
+        self.calls[number].callback(Response(200, b"OK", headers, body))
+
+
+class EraTests(TestCase):
+    def setUp(self) -> None:
+        self.client = StoreClient(Clock(), "10.0.0.1:80")
+        self.pool = self.client._pool = ScriptedPool()
+
+    def test_late_answer_of_an_earlier_era_is_not_used(self):
+        first = self.client.read_rows("op")
+        self.pool.answer(0, 5, "1")
+        self.assertEqual(self.get_result(first).era, 1)
+        late = self.client.wait_for_changes("op", 5, 1)
+        other = self.client.read_rows("servers")
+        self.pool.answer(2, 3, "2")
+        self.assertEqual(self.get_result(other).era, 2)
+        self.pool.answer(1, 9, "1")
+        self.assertIsInstance(self.get_failure(late), PlatformAnswerLost)
+
+    def test_write_acknowledged_in_an_earlier_era_counts_as_lost(self):
+        first = self.client.read_rows("op")
+        write = self.client.write_row("almondgap-hosts", "h1", b"{}")
+        self.pool.answer(0, 5, "2")
+        self.get_result(first)
+        self.pool.answer(1, 6, "1")
+        self.assertIsInstance(self.get_failure(write), PlatformAnswerLost)
+
+    def get_result(self, deferred: Deferred):
+        results: list = []
+        deferred.addCallback(results.append)
+        return results[0]
+
+    def get_failure(self, deferred: Deferred) -> Exception:
+        failures: list = []
+        deferred.addErrback(failures.append)
+        return failures[0].value
