Read all tables anew as soon as one call tells of a restored store

A call that waits for changes may never be answered by a store that was restored. Each table was read anew only when its own call ended: with the operators' rows read in era 2, the targets' were known as of era 1 for up to 30 s, in the test longer than the bound of 2 s. Targets that joined got nothing and those that left were still used. Found by a test of a single host whose other call hangs; it failed with era 1 of the targets' table. The answer that names the new era now renews the calls for all tables.

--- a/packages/almondgap-core/almondgap_core/gateway/store_views.py
+++ b/packages/almondgap-core/almondgap_core/gateway/store_views.py
@@ -163,8 +163,10 @@
 
 
 def handle_store_restored(state: GatewayState, event: StoreRestored) -> None:
-    """Report that the store lacks its latest changes."""
+    """Read all tables anew; calls that wait for changes may never be answered."""
     state.report(StoreChanged("restored", f"from a copy, era {event.era}"))
+    for table in StoreTable:
+        _read_again(state, table, event.now)
 
 
 def handle_tick(state: GatewayState, event: Ticked) -> None:
--- a/packages/almondgap-testkit/almondgap_testkit/gateways/followers.py
+++ b/packages/almondgap-testkit/almondgap_testkit/gateways/followers.py
@@ -8,16 +8,19 @@
 
 import json
 import random
+from collections.abc import Callable
 
 from attrs import Factory, define, field, frozen
 from twisted.internet.defer import Deferred
 from twisted.internet.task import Clock
+from twisted.python.failure import Failure
 
 from almondgap_core.exceptions import PlatformAnswerLost
 from almondgap_core.gateway.effects import Log, ReadTable, SendHeartbeat, SendStoreView
 from almondgap_core.gateway.events import (
     GatewayEvent,
     HeartbeatReceived,
+    StoreRestored,
     StoreViewReceived,
     Ticked,
 )
@@ -192,14 +195,19 @@
 
 @define
 class ModelStoreClient:
-    """The calls of one host at the model store."""
+    """The calls of one host at the model store.
+
+    :ivar on_restored: called with the new era when an answer names one.
+    """
 
     store: ModelStore
     host: str
+    on_restored: Callable[[int], None] = lambda era: None
+    era: int = 0
 
     def read_rows(self, table: str) -> Deferred:
         """Return all rows of a table."""
-        return self.store.read(self.host, table)
+        return self._record_era(self.store.read(self.host, table))
 
     def wait_for_changes(
         self,
@@ -211,7 +219,20 @@
         reuse: bool,
     ) -> Deferred:
         """Return the rows that changed after a version."""
-        return self.store.wait(self.host, table, after, era, wait_s, timeout_s)
+        answer = self.store.wait(self.host, table, after, era, wait_s, timeout_s)
+        return self._record_era(answer)
+
+    def _record_era(self, answer: Deferred) -> Deferred:
+        def record(result):
+            is_answer = not isinstance(result, Failure) or result.check(HistoryLost)
+            previous, era = self.era, self.store.era
+            if is_answer and era > previous:
+                self.era = era
+                if previous:
+                    self.on_restored(era)
+            return result
+
+        return answer.addBoth(record)
 
 
 @define(eq=False)
@@ -278,9 +299,11 @@
 
     def _add_host(self, host: str, failure_domain: str) -> None:
         state = GatewayState(build_location(host, failure_domain), 1, REGIONS)
+        client = ModelStoreClient(self.store, host)
+        client.on_restored = lambda era: self.feed(host, StoreRestored, era)
         watcher = StoreWatcher(
             self.clock,
-            ModelStoreClient(self.store, host),
+            client,
             lambda event: self._perform(host, step(state, event)),
             self.now,
             random.Random(host).random,
--- a/tests/daemon/gateway/test_watcher.py
+++ b/tests/daemon/gateway/test_watcher.py
@@ -78,6 +78,21 @@
         followers.run(CHANGE_S)
         self.assertEqual(followers.list_versions(), dict.fromkeys(FLEET, 7))
 
+    def test_all_tables_are_read_anew_when_one_call_tells_of_the_restore(self):
+        followers = Followers.start(h1="a1")
+        followers.store.write(TARGETS_TABLE, "t1", b"{}")
+        followers.run(2.0)
+        copy = followers.store.copy()
+        followers.store.write(TARGETS_TABLE, "t2", b"{}")
+        followers.run(2.0)
+        # The calls that wait for changes are never answered.
+        followers.store.restore(copy)
+        followers.store.write(TARGETS_TABLE, "t3", b"{}")
+        followers.hosts["h1"].watcher.read_table(StoreTable.OPERATORS)
+        followers.run(CHANGE_S)
+        knowledge = followers.hosts["h1"].state.store_knowledge
+        self.assertEqual(knowledge.eras, dict.fromkeys(StoreTable, 2))
+
 
 class SilenceTests(TestCase):
     def start(self, **failure_domains: str) -> Followers:
