Let a starting host wait for the configuration that its peers have

A host that starts while a restored store still lists an older configuration served it: requests with keys that were withdrawn, refusals of routes that were added, for as long as the operator has not written the newer one again. Cause: running hosts never go back, but one that starts has nothing to compare with, though its peers tell it their version.

In its first 10 s a host that has been behind a live peer for half a second is not ready and answers 503, not run; a change that reaches a peer a moment earlier refuses nobody, and a host that has run for longer goes on. If nothing newer comes in that time, what the store has counts. What remains: up to three quarters of a second at the older one, until the host has heard of its peers.

--- a/packages/almondgap-core/almondgap_core/gateway/admission.py
+++ b/packages/almondgap-core/almondgap_core/gateway/admission.py
@@ -13,7 +13,7 @@
 from almondgap_core.units import MICROS_PER_SECOND, millis
 from almondgap_core.verdict import Reason, Refusal, Verdict
 
-#: Retry delay for callers of a host that has no configuration yet.
+#: Retry delay for callers of a host that has no current configuration yet.
 NOT_READY_RETRY_AFTER_US = millis(300)
 
 #: Maximum retry delay for callers above their rate limit.
@@ -27,11 +27,11 @@
 def check_call(state: GatewayState, event: CallArrived) -> Call | Refusal:
     """Return the call for a valid request, or the refusal for another."""
     cfg = state.configuration
-    if cfg is None:
+    if cfg is None or state.outdated:
         return _refuse(
             503,
             Reason.NOT_READY,
-            "host has no configuration yet",
+            "host has no current configuration yet",
             NOT_READY_RETRY_AFTER_US,
         )
     route = cfg.find_route(event.host, event.path)
--- a/packages/almondgap-core/almondgap_core/gateway/state.py
+++ b/packages/almondgap-core/almondgap_core/gateway/state.py
@@ -127,6 +127,8 @@
     :ivar seed: state of the pseudo-random generator.
     :ivar started_at: when the host started, in microseconds.
     :ivar early_arrivals: requests that arrived before the store was read, by number.
+    :ivar behind_since: since when peers have had a newer configuration, None if not.
+    :ivar outdated: whether the configuration must not be used for that reason.
     :ivar serving_since: when the first configuration came into force, in microseconds.
     :ivar evacuated: failure domains that must receive no requests.
     :ivar listed_evacuations: failure domains that the store lists as evacuated.
@@ -173,6 +175,8 @@
     configuration: Configuration | None = None
     started_at: int = 0
     early_arrivals: dict[int, CallArrived] = Factory(dict)
+    behind_since: int | None = None
+    outdated: bool = False
     serving_since: int = 0
     evacuated: frozenset[str] = frozenset()
     listed_evacuations: frozenset[str] = frozenset()
@@ -210,7 +214,8 @@
     @property
     def ready(self) -> bool:
         """Whether callers may be directed to this host."""
-        return self.configuration is not None and not self.stopping
+        is_current = self.configuration is not None and not self.outdated
+        return is_current and not self.stopping
 
     @property
     def version(self) -> int:
