Let the test of a restored store fail without its fix

The test in virtual time that came with the fix failed before it because it did not wait for calls that were lost; with the longer wait it passed without the fix as well, since the operators' table was known up to a version below the new rows.

--- a/tests/daemon/gateway/test_watcher.py
+++ b/tests/daemon/gateway/test_watcher.py
@@ -33,9 +33,9 @@
             with self.subTest(missed=missed):
                 followers = Followers.start(**FLEET)
                 copy = followers.store.copy()
-                followers.configure(2)
                 for number in range(3):
                     followers.store.write(TARGETS_TABLE, f"t{number}", b"{}")
+                followers.configure(2)
                 followers.run(1.0)
                 followers.store.silence(*missed)
                 followers.store.restore(copy)
--- a/tests/daemon/platform/test_store.py
+++ b/tests/daemon/platform/test_store.py
@@ -11,7 +11,7 @@
 
 from almondgap_core.exceptions import PlatformAnswerLost
 from almondgap_daemon.http.response import Response
-from almondgap_daemon.platform.store import StoreClient
+from almondgap_daemon.platform.store import HistoryLost, StoreClient
 
 
 @define
@@ -36,9 +36,10 @@
     def close(self) -> None:
         pass
 
-    def answer(self, number: int, version: int, era: str) -> None:
-        """Answer a call."""
-        body = json.dumps({"rows": [], "has_more": False, "ver": version}).encode()
+    def answer(self, number: int, version: int, era: str, rows=()) -> None:
+        """Answer a call; there are more rows if there are any."""
+        content = {"rows": list(rows), "has_more": bool(rows), "ver": version}
+        body = json.dumps(content).encode()
         headers = [(b"Store-Era", era.encode())]
         self.calls[number].callback(Response(200, b"OK", headers, body))
 
@@ -48,6 +49,22 @@
         self.client = StoreClient(Clock(), "10.0.0.1:80")
         self.pool = self.client._pool = ScriptedPool()
 
+    def test_changes_of_a_newer_era_mean_a_new_snapshot_whatever_the_version(self):
+        for version in (3, 5, 9):
+            self.setUp()
+            self.client.read_rows("op")
+            self.pool.answer(0, 5, "1")
+            changes = self.client.wait_for_changes("op", 5, 1)
+            self.pool.answer(1, version, "2")
+            self.assertIsInstance(self.get_failure(changes), HistoryLost)
+
+    def test_pages_of_two_eras_are_no_snapshot(self):
+        read = self.client.read_rows("op")
+        row = {"table": "op", "part": "", "key": "config", "value": "", "ver": 4}
+        self.pool.answer(0, 5, "1", [row])
+        self.pool.answer(1, 9, "2")
+        self.assertIsInstance(self.get_failure(read), HistoryLost)
+
     def test_late_answer_of_an_earlier_era_is_not_used(self):
         first = self.client.read_rows("op")
         self.pool.answer(0, 5, "1")
