Speak of advertised limits, and say what is sent to whom

Types, events, effects and tests are renamed, comments of the new modules put in plain terms. No decision, no message and no log line changes.

--- a/packages/almondgap-core/almondgap_core/gateway/effects.py
+++ b/packages/almondgap-core/almondgap_core/gateway/effects.py
@@ -5,7 +5,7 @@
 from attrs import frozen
 
 from almondgap_core.gateway.events import StoreTable
-from almondgap_core.gateway.heartbeats import Heartbeat, NamedLimits, StoreView
+from almondgap_core.gateway.heartbeats import AdvertisedLimits, Heartbeat, StoreView
 from almondgap_core.gateway.reports import Report
 from almondgap_core.verdict import Refusal
 
@@ -117,13 +117,13 @@
 
 
 @frozen
-class SendNamedLimits(GatewayEffect):
-    """Tell other hosts the rate limits that targets named.
+class SendAdvertisedLimits(GatewayEffect):
+    """Send other hosts the rate limits that targets advertised.
 
     :ivar addresses: peer addresses of these hosts.
     """
 
-    named: NamedLimits
+    message: AdvertisedLimits
     addresses: tuple[str, ...]
 
 
--- a/packages/almondgap-core/almondgap_core/gateway/events.py
+++ b/packages/almondgap-core/almondgap_core/gateway/events.py
@@ -7,7 +7,7 @@
 from attrs import frozen
 
 from almondgap_core.gateway.configuration import Configuration
-from almondgap_core.gateway.heartbeats import Heartbeat, NamedLimits, StoreView
+from almondgap_core.gateway.heartbeats import AdvertisedLimits, Heartbeat, StoreView
 from almondgap_core.gateway.target import Announcement
 from almondgap_core.verdict import Verdict
 
@@ -68,7 +68,7 @@
     :ivar load: running and queued requests that the target reported, None if it did
         not.
     :ivar rate_limit: requests per second that the target takes from all hosts together,
-        infinity if it named no limit, None if unknown.
+        infinity if it advertised no limit, None if unknown.
     """
 
     call: int
@@ -110,7 +110,7 @@
     :ivar healthy: whether the target itself answered that it is healthy.
     :ivar warmup_left: remaining time of its warm-up.
     :ivar rate_limit: requests per second that it takes from all hosts together, None if
-        it named no limit.
+        it advertised no limit.
     """
 
     target: str
@@ -211,10 +211,10 @@
 
 
 @frozen
-class NamedLimitsReceived(GatewayEvent):
-    """Another host told which rate limits targets named."""
+class AdvertisedLimitsReceived(GatewayEvent):
+    """Another host sent rate limits that targets advertised."""
 
-    named: NamedLimits
+    advertised: AdvertisedLimits
 
 
 @frozen
--- a/packages/almondgap-core/almondgap_core/gateway/heartbeats.py
+++ b/packages/almondgap-core/almondgap_core/gateway/heartbeats.py
@@ -56,8 +56,8 @@
 
 
 @frozen
-class NamedLimit:
-    """A rate limit that a target named in an answer to a host.
+class AdvertisedLimit:
+    """A rate limit that a target advertised in an answer to a host.
 
     :ivar incarnation: number of the target's run.
     :ivar rate: requests per second from all hosts together, infinity for no limit.
@@ -71,11 +71,11 @@
 
 
 @frozen
-class NamedLimits:
-    """The rate limits of targets that a host knows of."""
+class AdvertisedLimits:
+    """Rate limits of targets that a host sends to its peers."""
 
     host: str
-    limits: tuple[NamedLimit, ...]
+    limits: tuple[AdvertisedLimit, ...]
 
 
 @define
--- a/packages/almondgap-core/almondgap_core/gateway/reports.py
+++ b/packages/almondgap-core/almondgap_core/gateway/reports.py
@@ -165,7 +165,7 @@
 
 @frozen
 class TargetLimitChanged(Report):
-    """A target named another rate limit in its answers, or none any more.
+    """A target advertised another rate limit in its answers, or none any more.
 
     :ivar rate: requests per second from all hosts together, None for no limit.
     :ivar previous: the rate before, None for no limit.
--- a/packages/almondgap-core/almondgap_core/gateway/state.py
+++ b/packages/almondgap-core/almondgap_core/gateway/state.py
@@ -154,7 +154,7 @@
         which the answer holds.
     :ivar limit_orders: position of this host among those in charge of a target, and
         their number, by target, with the epoch for which they hold.
-    :ivar limits_changed: whether peers are to be told of a target's rate limit.
+    :ivar limits_changed: whether a target's rate limit is to be sent to peers.
     :ivar next_returns: when the next caller may return that the rate limits of a
         service's targets leave no room for, by service.
     :ivar token_requests: requests that wait for tokens of a peer, by client account.
--- a/packages/almondgap-core/almondgap_core/gateway/target.py
+++ b/packages/almondgap-core/almondgap_core/gateway/target.py
@@ -125,7 +125,7 @@
 
 @define
 class TargetLimit:
-    """A rate limit that a target named, and this host's part; times in microseconds.
+    """An advertised rate limit and this host's part of it; times in microseconds.
 
     :ivar rate: requests per second from all hosts together, infinity for no limit.
     :ivar observed_at: when an answer to any host said so, as far as this host knows.
@@ -165,7 +165,7 @@
     :ivar backoff_until: when it may receive requests again after it rejected one.
     :ivar warmup_until: when its warm-up ends.
     :ivar next_warmup_at: earliest time of the next request to it during warm-up.
-    :ivar limit: rate limit that it named.
+    :ivar limit: rate limit that it advertised.
     :ivar recent_objects: objects that this host sent to it, with the time of the last
         request.
     """
--- a/packages/almondgap-core/almondgap_core/gateway/target_limits.py
+++ b/packages/almondgap-core/almondgap_core/gateway/target_limits.py
@@ -1,25 +1,25 @@
-"""Rate limits that targets name in their answers, shared by all hosts.
-
-Handles targets that ask for less than the hosts would send them, down to fewer requests
-per second than there are hosts. A few hosts in the target's region, found by rendezvous
-hashing, share the limit in equal parts; the others send nothing. A host that falls
-silent keeps its part for a while, since it may be partitioned and still sending. Hosts
-tell each other what targets named, with its age, so that the newest answer counts
-everywhere. If no host has heard of a target for some time, one host after another
-sends it a single request.
+"""Rate limits that targets advertise in their answers, shared by all hosts.
+
+Handles overloaded targets that accept less than the hosts would send, down to fewer
+requests per second than there are hosts. A few hosts in the target's region, found by
+rendezvous hashing, share the limit in equal parts; the others send nothing. A host that
+falls silent keeps its part for a while, since it may be partitioned and still sending.
+Hosts exchange what targets advertised together with its age, so that the newest answer
+counts everywhere. If no host has had an answer of a target for some time, one host
+after another sends it a single request.
 """
 
 from __future__ import annotations
 
 from math import inf, isinf
 
-from almondgap_core.gateway.effects import SendNamedLimits
+from almondgap_core.gateway.effects import SendAdvertisedLimits
 from almondgap_core.gateway.events import (
+    AdvertisedLimitsReceived,
     GatewayEvent,
-    NamedLimitsReceived,
     Ticked,
 )
-from almondgap_core.gateway.heartbeats import NamedLimit, NamedLimits
+from almondgap_core.gateway.heartbeats import AdvertisedLimit, AdvertisedLimits
 from almondgap_core.gateway.ranking import sort_hosts
 from almondgap_core.gateway.reports import TargetLimitChanged
 from almondgap_core.gateway.state import GatewayState
@@ -32,7 +32,7 @@
 #: Time for which unused tokens accumulate; a host that has a share may hold one token.
 BURST_US = seconds(1)
 
-#: Time after an answer that named a limit in which an answer without one does not end
+#: Time after an answer with a limit in which an answer without one does not end
 #: it: answers may arrive in another order than they were given.
 ABSENCE_GRACE_US = seconds(1)
 
@@ -41,17 +41,17 @@
 STALE_US = seconds(5)
 TURN_US = seconds(1)
 
-#: Time for which a host tells its peers of an answer: longer than the interval of its
-#: messages to any of them.
+#: Time for which a host sends peers what an answer advertised: longer than the interval
+#: of its messages to any of them.
 NEWS_TTL_US = seconds(10)
 
 #: Maximum number of limits in a message.
 MAX_LIMITS_PER_MESSAGE = 100
 
-#: Relative change of a limit that is reported and told to peers at once.
+#: Relative change of a limit that is reported and sent to peers at once.
 MIN_CHANGE = 0.25
 
-#: Bounds of the delay after which a caller is told to return.
+#: Bounds of the retry delay of callers that find no room within the limits.
 MIN_RETURN_US = millis(100)
 MAX_RETURN_US = seconds(5)
 
@@ -59,7 +59,7 @@
 def record_rate_limit(
     state: GatewayState, target: Target, rate: float, now: int
 ) -> None:
-    """Record the limit that a target named in an answer to this host.
+    """Record the limit that a target advertised in an answer to this host.
 
     :param rate: requests per second, infinity for no limit.
     """
@@ -72,23 +72,25 @@
         state.limits_changed = True
 
 
-def handle_named_limits(state: GatewayState, event: NamedLimitsReceived) -> None:
+def handle_advertised_limits(
+    state: GatewayState, event: AdvertisedLimitsReceived
+) -> None:
     """Take over limits of which another host has a newer answer."""
-    for named in event.named.limits:
-        target = state.targets.get(named.target)
-        if target is None or target.announcement.incarnation != named.incarnation:
+    for advertised in event.advertised.limits:
+        target = state.targets.get(advertised.target)
+        if target is None or target.announcement.incarnation != advertised.incarnation:
             continue
         limit = target.limit
-        if isinf(named.rate) and not limit.in_force:
+        if isinf(advertised.rate) and not limit.in_force:
             continue
-        observed_at = event.now - named.age
+        observed_at = event.now - advertised.age
         if observed_at > limit.observed_at:
-            source = event.named.host
-            _set_limit(state, target, named.rate, observed_at, event.now, source)
+            source = event.advertised.host
+            _set_limit(state, target, advertised.rate, observed_at, event.now, source)
 
 
 def handle_tick(state: GatewayState, event: Ticked) -> None:
-    """Tell the hosts of the region of limits that changed in answers to this host."""
+    """Send limits that changed in answers to this host to the hosts of the region."""
     if not state.limits_changed:
         return
     state.limits_changed = False
@@ -101,7 +103,7 @@
 
 
 def send_limits(state: GatewayState, addresses: tuple[str, ...], now: int) -> None:
-    """Tell other hosts what targets named in recent answers to this one."""
+    """Send other hosts what targets advertised in recent answers to this one."""
     news = [
         target
         for target in state.targets.values()
@@ -111,7 +113,7 @@
 
 
 def send_all_limits(state: GatewayState, addresses: tuple[str, ...], now: int) -> None:
-    """Tell hosts that have just started which limits are in force."""
+    """Send all limits in force to hosts that have just started."""
     known = [target for target in state.targets.values() if target.limit.in_force]
     _send(state, known, addresses, now)
 
@@ -123,7 +125,7 @@
         return
     targets.sort(key=lambda target: -target.limit.observed_at)
     limits = tuple(
-        NamedLimit(
+        AdvertisedLimit(
             target.name,
             target.announcement.incarnation,
             target.limit.rate,
@@ -131,8 +133,8 @@
         )
         for target in targets[:MAX_LIMITS_PER_MESSAGE]
     )
-    named = NamedLimits(state.location.host, limits)
-    state.perform(SendNamedLimits(named, addresses))
+    message = AdvertisedLimits(state.location.host, limits)
+    state.perform(SendAdvertisedLimits(message, addresses))
 
 
 def has_limit_token(state: GatewayState, target: Target, now: int) -> bool:
@@ -253,6 +255,6 @@
 
 
 EVENT_HANDLERS: dict[type[GatewayEvent], object] = {
-    NamedLimitsReceived: handle_named_limits,
+    AdvertisedLimitsReceived: handle_advertised_limits,
     Ticked: handle_tick,
 }
--- a/packages/almondgap-daemon/almondgap_daemon/gateway/messages.py
+++ b/packages/almondgap-daemon/almondgap_daemon/gateway/messages.py
@@ -15,10 +15,10 @@
 
 from almondgap_core.exceptions import MessageError
 from almondgap_core.gateway.heartbeats import (
+    AdvertisedLimit,
+    AdvertisedLimits,
     Heartbeat,
     HostLocation,
-    NamedLimit,
-    NamedLimits,
     StoreView,
 )
 
@@ -53,10 +53,10 @@
 
 
 #: Message types by their number on the wire, which is the position in this tuple.
-MESSAGE_TYPES = (Heartbeat, TokenRequest, TokenResponse, StoreView, NamedLimits)
+MESSAGE_TYPES = (Heartbeat, TokenRequest, TokenResponse, StoreView, AdvertisedLimits)
 
 
-Message = Heartbeat | TokenRequest | TokenResponse | StoreView | NamedLimits
+Message = Heartbeat | TokenRequest | TokenResponse | StoreView | AdvertisedLimits
 
 
 def encode_message(message: Message) -> bytes:
@@ -85,7 +85,7 @@
         )
     elif isinstance(message, StoreView):
         fields = astuple(message)
-    elif isinstance(message, NamedLimits):
+    elif isinstance(message, AdvertisedLimits):
         limits = [astuple(limit) for limit in message.limits]
         fields = (message.host, limits)
     else:
@@ -125,12 +125,14 @@
     )
 
 
-def _decode_named_limits(host, limits) -> NamedLimits:
-    return NamedLimits(str(host), tuple(_decode_named_limit(*each) for each in limits))
+def _decode_advertised_limits(host, limits) -> AdvertisedLimits:
+    return AdvertisedLimits(
+        str(host), tuple(_decode_advertised_limit(*each) for each in limits)
+    )
 
 
-def _decode_named_limit(target, incarnation, rate, age) -> NamedLimit:
-    limit = NamedLimit(str(target), int(incarnation), float(rate), int(age))
+def _decode_advertised_limit(target, incarnation, rate, age) -> AdvertisedLimit:
+    limit = AdvertisedLimit(str(target), int(incarnation), float(rate), int(age))
     # NaN fails the comparison as well.
     if not (limit.rate >= 0.0 and limit.age >= 0):
         raise ValueError(f"invalid limit {limit}")
@@ -138,7 +140,7 @@
 
 
 _DECODERS = {
-    NamedLimits: _decode_named_limits,
+    AdvertisedLimits: _decode_advertised_limits,
     Heartbeat: _decode_heartbeat,
     TokenRequest: lambda reply_to, account, correlation_id, tokens: TokenRequest(
         str(reply_to), str(account), int(correlation_id), float(tokens)
--- a/packages/almondgap-daemon/almondgap_daemon/gateway/runtime.py
+++ b/packages/almondgap-daemon/almondgap_daemon/gateway/runtime.py
@@ -22,26 +22,26 @@
     Refuse,
     RequestTokens,
     Send,
+    SendAdvertisedLimits,
     SendHeartbeat,
-    SendNamedLimits,
     SendStoreView,
     StartExpiryTimer,
     StartTokenTimer,
 )
 from almondgap_core.gateway.events import (
+    AdvertisedLimitsReceived,
     CallArrived,
     CallerLeft,
     CallExpired,
     GatewayEvent,
     HeartbeatReceived,
-    NamedLimitsReceived,
     StoreViewReceived,
     Ticked,
     TokensGranted,
     TokensRequested,
     TokensTimedOut,
 )
-from almondgap_core.gateway.heartbeats import Heartbeat, NamedLimits, StoreView
+from almondgap_core.gateway.heartbeats import AdvertisedLimits, Heartbeat, StoreView
 from almondgap_core.gateway.reducer import fail_call, step
 from almondgap_core.gateway.state import GatewayState
 from almondgap_core.units import MICROS_PER_SECOND
@@ -131,8 +131,8 @@
             SendStoreView: lambda effect: self.send_message(
                 effect.view, *effect.addresses
             ),
-            SendNamedLimits: lambda effect: self.send_message(
-                effect.named, *effect.addresses
+            SendAdvertisedLimits: lambda effect: self.send_message(
+                effect.message, *effect.addresses
             ),
             ReadTable: lambda effect: self.read_table(effect.table),
             RequestTokens: self._ask_tokens,
@@ -204,8 +204,8 @@
             self.feed(HeartbeatReceived(now, message))
         elif isinstance(message, StoreView):
             self.feed(StoreViewReceived(now, message))
-        elif isinstance(message, NamedLimits):
-            self.feed(NamedLimitsReceived(now, message))
+        elif isinstance(message, AdvertisedLimits):
+            self.feed(AdvertisedLimitsReceived(now, message))
         elif isinstance(message, TokenRequest):
             fields = (message.reply_to, message.account, message.correlation_id)
             self.feed(TokensRequested(now, *fields, message.tokens))
--- a/packages/almondgap-daemon/almondgap_daemon/platform/headers.py
+++ b/packages/almondgap-daemon/almondgap_daemon/platform/headers.py
@@ -133,7 +133,7 @@
 def parse_rate_limit(headers: RawHeaders) -> float | None:
     """Return the requests per second that a target takes from all hosts together.
 
-    :return: infinity if the target names no limit, None if the value is malformed.
+    :return: infinity if the target advertises none, None if the value is malformed.
     """
     value = find_header(headers, RATE_LIMIT)
     if value is None:
--- a/packages/almondgap-daemon/almondgap_daemon/platform/store.py
+++ b/packages/almondgap-daemon/almondgap_daemon/platform/store.py
@@ -31,7 +31,7 @@
 MAX_ROWS_PER_PAGE = 500
 
 #: Header with the number of the store's era, which rises when it is restored from a
-#: copy: versions of another era name other rows.
+#: copy: versions of different eras cannot be compared.
 ERA = b"store-era"
 
 #: Maximum number of digits of an era.
@@ -64,7 +64,7 @@
 
     :ivar on_restored: called with the new era when the store was restored from a copy.
     :ivar calls: number of calls so far.
-    :ivar era: newest era of the store seen, 0 if it names none.
+    :ivar era: newest era of the store seen, 0 if unknown.
     """
 
     reactor: object
@@ -207,7 +207,7 @@
 
 
 def _parse_era(response: Response) -> int:
-    """Return the store's era in an answer, 0 if it names none."""
+    """Return the store's era in an answer, 0 if there is none."""
     value = (response.get(ERA) or b"").strip()
     return int(value) if value.isdigit() and len(value) <= MAX_ERA_DIGITS else 0
 
--- a/packages/almondgap-testkit/almondgap_testkit/gateways/simulation.py
+++ b/packages/almondgap-testkit/almondgap_testkit/gateways/simulation.py
@@ -25,12 +25,13 @@
     Refuse,
     RequestTokens,
     Send,
+    SendAdvertisedLimits,
     SendHeartbeat,
-    SendNamedLimits,
     StartExpiryTimer,
     StartTokenTimer,
 )
 from almondgap_core.gateway.events import (
+    AdvertisedLimitsReceived,
     AttemptFailed,
     CallArrived,
     CallerLeft,
@@ -39,7 +40,6 @@
     Failure,
     GatewayEvent,
     HeartbeatReceived,
-    NamedLimitsReceived,
     ProbeEnded,
     TargetAnswered,
     TargetsRead,
@@ -84,7 +84,7 @@
     :ivar miss_cost: service time of a cache miss relative to a hit.
     :ivar mode: ``well``, ``dead`` (refuses connections), ``silent`` (never answers),
         ``failing`` (answers 500), ``shedding`` (answers that it did not run).
-    :ivar rate_limit: requests per second that it names in its answers, infinity for
+    :ivar rate_limit: requests per second that it advertises, infinity for
         none, None for a malformed value.
     :ivar arrivals: times of all requests that reached it, each with its host.
     :ivar runs: request ids that it started to process, with the time.
@@ -312,8 +312,8 @@
             elif isinstance(effect, SendHeartbeat):
                 message = (HeartbeatReceived, effect.heartbeat)
                 self._send_message(host, effect.addresses, *message)
-            elif isinstance(effect, SendNamedLimits):
-                message = (NamedLimitsReceived, effect.named)
+            elif isinstance(effect, SendAdvertisedLimits):
+                message = (AdvertisedLimitsReceived, effect.message)
                 self._send_message(host, effect.addresses, *message)
             elif isinstance(effect, Probe):
                 self._probe(host, effect)
--- a/tests/core/gateway/test_target_limits.py
+++ b/tests/core/gateway/test_target_limits.py
@@ -1,6 +1,6 @@
-"""Rate limits that targets name in their answers, shared by all hosts.
+"""Rate limits that targets advertise in their answers, shared by all hosts.
 
-Load pattern: many callers of a service while some of its targets ask for less.
+Load pattern: many callers of a service while some of its targets accept less.
 """
 
 from __future__ import annotations
@@ -22,7 +22,7 @@
 TOLERANCE_RATIO = 1.5
 TOLERANCE_REQUESTS = 5
 
-#: Time after a target first named a limit from which the limit must hold.
+#: Time after a target first advertised a limit from which the limit must hold.
 SETTLING_US = seconds(3)
 
 
@@ -48,12 +48,12 @@
     )
 
 
-class NamedLimitTests(TestCase):
+class AdvertisedLimitTests(TestCase):
     def check(self, target: ModelTarget, rate: float, since: int) -> None:
         allowed = rate * WINDOW_US / seconds(1) * TOLERANCE_RATIO + TOLERANCE_REQUESTS
         self.assertLessEqual(count_most(target, since), allowed, f"{rate}/s")
 
-    def test_target_gets_no_more_than_the_rate_it_named(self):
+    def test_target_gets_no_more_than_the_rate_it_advertised(self):
         for rate in (0.0, 0.4, 1.5, 2.4, 10.0):
             sim = build_fleet()
             sim.generate_load(list(sim.hosts), 150, seconds(20))
--- a/tests/daemon/gateway/test_messages.py
+++ b/tests/daemon/gateway/test_messages.py
@@ -8,9 +8,9 @@
 
 from almondgap_core.exceptions import MessageError
 from almondgap_core.gateway.heartbeats import (
+    AdvertisedLimit,
+    AdvertisedLimits,
     Heartbeat,
-    NamedLimit,
-    NamedLimits,
     StoreView,
 )
 from almondgap_daemon.gateway.messages import (
@@ -29,10 +29,11 @@
             TokenRequest("h1:90", "one", 4, 3.0),
             TokenResponse("one", 4, 0.0),
             StoreView("h1", 5, (6, 7), 8, 2),
-            NamedLimits(
-                "h1", (NamedLimit("t1", 5, 2.5, 6), NamedLimit("t2", 5, inf, 0))
+            AdvertisedLimits(
+                "h1",
+                (AdvertisedLimit("t1", 5, 2.5, 6), AdvertisedLimit("t2", 5, inf, 0)),
             ),
-            NamedLimits("h1", ()),
+            AdvertisedLimits("h1", ()),
         ):
             self.assertEqual(decode_message(encode_message(message)), message)
 
--- a/tests/daemon/gateway/test_site.py
+++ b/tests/daemon/gateway/test_site.py
@@ -49,7 +49,7 @@
         runs = [site.list_runs(number)["runs"].get("r4", 0) for number in range(2)]
         self.assertEqual(runs, [1, 1])
 
-    def test_target_that_names_a_rate_limit_gets_no_more(self):
+    def test_target_that_advertises_a_rate_limit_gets_no_more(self):
         site = self.start(("h1", "h2"), workers=1)
         site.set_mode(0, "limited")
         started = time.monotonic()
