--- a/tests/core/gateway/test_target_limits.py
+++ b/tests/core/gateway/test_target_limits.py
@@ -39,6 +39,16 @@
     return sim
 
 
+def start_limited(rate: float) -> tuple[Simulation, ModelTarget]:
+    """Return loaded hosts and a target whose limit they have known for some seconds."""
+    sim = build_fleet()
+    sim.generate_load(list(sim.hosts), 150, seconds(40))
+    target = sim.targets["t0"]
+    target.rate_limit = rate
+    sim.run(seconds(4))
+    return sim, target
+
+
 def count_most(target: ModelTarget, since: int) -> int:
     """Return the most requests that reached a target in any window."""
     times = [at for at, _ in target.arrivals if at >= since]
@@ -67,20 +77,14 @@
                 self.check(target, rate, since)
 
     def test_limited_target_is_used(self):
-        sim = build_fleet()
-        sim.targets["t0"].rate_limit = 2.4
-        sim.generate_load(list(sim.hosts), 150, seconds(20))
-        sim.run(seconds(20))
-        since = sim.clock.now - seconds(16)
-        count = sum(at >= since for at, _ in sim.targets["t0"].arrivals)
+        sim, target = start_limited(2.4)
+        since = sim.clock.now
+        sim.run(seconds(16))
+        count = sum(at >= since for at, _ in target.arrivals)
         self.assertGreaterEqual(count, 2.4 * 16 * 0.6)
 
     def test_limit_holds_while_hosts_restart_one_after_another(self):
-        sim = build_fleet()
-        sim.generate_load(list(sim.hosts), 150, seconds(40))
-        target = sim.targets["t0"]
-        target.rate_limit = 2.4
-        sim.run(seconds(4))
+        sim, target = start_limited(2.4)
         since = sim.clock.now
         started = {}
         for number, name in enumerate(list(sim.hosts)):
@@ -99,10 +103,7 @@
         self.check(target, 2.4, since)
 
     def test_host_that_starts_learns_the_limit_from_the_others(self):
-        sim = build_fleet()
-        sim.targets["t0"].rate_limit = 2.4
-        sim.generate_load(list(sim.hosts), 150, seconds(8))
-        sim.run(seconds(8))
+        sim, _ = start_limited(2.4)
         for number in (0, 7):
             sim.kill_host(f"h{number}")
             sim.run(seconds(1))
@@ -112,58 +113,39 @@
 
     def test_limit_holds_while_its_holder_is_cut_off_from_the_others(self):
         for name in [f"h{number}" for number in range(5)]:
-            sim = build_fleet()
-            sim.generate_load(list(sim.hosts), 150, seconds(20))
-            sim.targets["t0"].rate_limit = 2.4
-            sim.run(seconds(4))
+            sim, target = start_limited(2.4)
             since = sim.clock.now
             sim.isolated.add(name)
             sim.run(seconds(12))
-            self.check(sim.targets["t0"], 2.4, since)
+            self.check(target, 2.4, since)
 
     def test_all_hosts_send_again_after_the_limit_has_ended(self):
         for rate in (0.0, 2.4):
-            sim = build_fleet()
-            sim.generate_load(list(sim.hosts), 150, seconds(30))
-            target = sim.targets["t0"]
-            target.rate_limit = rate
-            sim.run(seconds(10))
+            sim, target = start_limited(rate)
+            sim.run(seconds(6))
             target.rate_limit = inf
             sim.run(seconds(12))
             since = sim.clock.now - seconds(4)
             for host in sim.hosts.values():
                 self.assertFalse(host.state.targets["t0"].limit.in_force)
-            count = sum(at >= since for at, _ in target.arrivals)
-            self.assertGreater(count, 40)
+            self.assertGreater(sum(at >= since for at, _ in target.arrivals), 40)
 
     def test_answers_without_a_readable_limit_do_not_end_it(self):
-        sim = build_fleet()
-        sim.generate_load(list(sim.hosts), 150, seconds(20))
-        target = sim.targets["t0"]
-        target.rate_limit = 2.4
-        sim.run(seconds(4))
+        sim, target = start_limited(2.4)
         since = sim.clock.now
         target.rate_limit = None
         sim.run(seconds(8))
         self.check(target, 2.4, since)
 
     def test_limit_that_falls_binds_at_once(self):
-        sim = build_fleet()
-        sim.generate_load(list(sim.hosts), 150, seconds(20))
-        target = sim.targets["t0"]
-        target.rate_limit = 20.0
-        sim.run(seconds(6))
+        sim, target = start_limited(20.0)
         target.rate_limit = 1.0
         since = sim.clock.now + seconds(1)
         sim.run(seconds(8))
         self.check(target, 1.0, since)
 
     def test_health_checks_count_against_the_limit(self):
-        sim = build_fleet()
-        sim.generate_load(list(sim.hosts), 150, seconds(20))
-        target = sim.targets["t0"]
-        target.rate_limit = 0.4
-        sim.run(seconds(4))
+        sim, target = start_limited(0.4)
         target.mode = "dead"
         since = sim.clock.now
         sim.run(seconds(12))
--- a/tests/daemon/gateway/test_watcher.py
+++ b/tests/daemon/gateway/test_watcher.py
@@ -16,6 +16,7 @@
     Followers,
     ModelStore,
     ModelStoreClient,
+    StoreCopy,
 )
 
 FLEET = {"h1": "a1", "h2": "a1", "h3": "a2", "h4": "b1", "h5": "b2"}
@@ -51,12 +52,17 @@
                     followers.list_versions(), dict.fromkeys(followers.hosts, 3)
                 )
 
-    def test_honest_hosts_are_not_distrusted(self):
+    def start_copied(self) -> tuple[Followers, StoreCopy]:
+        """Return hosts that know more of the store than its copy has."""
         followers = Followers.start(**FLEET)
         copy = followers.store.copy()
         for version in range(2, 6):
             followers.configure(version)
         followers.run(1.5)
+        return followers, copy
+
+    def test_honest_hosts_are_not_distrusted(self):
+        followers, copy = self.start_copied()
         followers.store.restore(copy)
         followers.configure(5)
         followers.run(8.0)
@@ -65,11 +71,7 @@
             self.assertEqual(refuted, [], host)
 
     def test_host_hears_from_others_that_the_store_was_restored(self):
-        followers = Followers.start(**FLEET)
-        copy = followers.store.copy()
-        for version in range(2, 6):
-            followers.configure(version)
-        followers.run(1.5)
+        followers, copy = self.start_copied()
         # The calls of all but h1 and h4 wait for an answer that is lost.
         followers.store.restore(copy)
         followers.configure(7)
