Soak: targets that advertise a rate limit, and a store restored from a copy

Two more faults are drawn: a target that takes one request a second from all hosts together, for 6 to 9 s, judged by the bound of the users' rule for hosts in touch; and a store that goes back to a copy of 0.3 to 6 s before, after which what operators and targets wrote since is written again. The test that every kind is drawn counts 24 kinds in place of 22.

--- a/packages/almondgap-testkit/almondgap_testkit/soak/judging.py
+++ b/packages/almondgap-testkit/almondgap_testkit/soak/judging.py
@@ -29,6 +29,11 @@
 #: The platform's tolerance of a limit: window in seconds, part of it, and requests.
 WINDOW_S, OVER_RATIO, OVER = 5.0, 0.1, 20
 
+#: Rate limit that a target in the mode ``limited`` advertises, in requests per second,
+#: the window in which it is judged, in seconds, and the tolerance over what it allows.
+ADVERTISED_RATE, ADVERTISED_WINDOW_S = 1.0, 4.0
+ADVERTISED_RATIO, ADVERTISED_OVER = 1.5, 5
+
 #: Time in which a host that was started anew listens on a machine that is busy with
 #: other programs, in seconds; its processor time has a test of its own.
 START_S = 5.0
@@ -62,6 +67,7 @@
             breaches += self._judge_attempt(attempt)
         breaches += self._judge_targets()
         breaches += self._judge_limit()
+        breaches += self._judge_advertised_limits()
         breaches += self._judge_recovery()
         return breaches
 
@@ -158,6 +164,31 @@
                 since = fault.at + APPLY_S + WINDOW_S
                 yield from _judge_windows(times, LOWERED_RATE, since, fault.end)
 
+    def _judge_advertised_limits(self) -> Iterator[str]:
+        """Yield limits of targets that hosts in touch exceeded together."""
+        hosts = {attempt.request_id: attempt.host for attempt in self.attempts}
+        allowed = ADVERTISED_RATE * ADVERTISED_WINDOW_S * ADVERTISED_RATIO
+        for fault in self.faults:
+            if fault.kind != "limited":
+                continue
+            times = sorted(
+                at
+                for request_id, runs in self.runs.items()
+                for at, target in runs
+                if target == fault.place
+                and fault.at + CONTACT_S <= at <= fault.end
+                and request_id in hosts
+                and not self._find(
+                    HOST_FAULTS, hosts[request_id], fault.at, at, CONTACT_S
+                )
+            )
+            for at in times:
+                end = at + ADVERTISED_WINDOW_S
+                count = bisect_right(times, end) - bisect_left(times, at)
+                if count > allowed + ADVERTISED_OVER:
+                    yield f"{fault}: {count} ran in 4 s from {at:.2f} s"
+                    break
+
     def _judge_recovery(self) -> Iterator[str]:
         late = [
             attempt
--- a/packages/almondgap-testkit/almondgap_testkit/soak/plan.py
+++ b/packages/almondgap-testkit/almondgap_testkit/soak/plan.py
@@ -20,10 +20,17 @@
     "failing",
     "cutting",
     "unsealed",
+    "limited",
 )
 
 #: Faults of the store.
-STORE_FAULTS = ("store down", "store silent", "store slow", "store forgets")
+STORE_FAULTS = (
+    "store down",
+    "store silent",
+    "store slow",
+    "store forgets",
+    "store restored",
+)
 
 #: What operators do.
 ACTS = (
@@ -37,8 +44,8 @@
 #: which hosts have to notice.
 LEAST_LENGTH_S, MOST_LENGTH_S = 0.3, 6.0
 
-#: Length of what operators do, in seconds: beyond the bound of 5 s and some more, in
-#: which nothing may go against it.
+#: Length of what operators do and of a target's rate limit, in seconds: beyond the
+#: bound of 5 s and some more, in which nothing may go against it.
 LEAST_ACT_S, MOST_ACT_S = 6.0, 9.0
 
 #: Faults begin this long after one another on average, so that several overlap.
@@ -82,7 +89,8 @@
         kind = chance.choice(kinds)
         count = hosts if kinds is HOST_FAULTS else targets
         acts = (LEAST_ACT_S, MOST_ACT_S)
-        bounds = acts if kinds is ACTS else (LEAST_LENGTH_S, MOST_LENGTH_S)
+        is_long = kinds is ACTS or kind == "limited"
+        bounds = acts if is_long else (LEAST_LENGTH_S, MOST_LENGTH_S)
         length = chance.uniform(*bounds)
         fault = Fault(at, length, kind, chance.randrange(count))
         if not any(_meet(fault, other) for other in faults):
--- a/packages/almondgap-testkit/almondgap_testkit/soak/stage.py
+++ b/packages/almondgap-testkit/almondgap_testkit/soak/stage.py
@@ -59,7 +59,8 @@
     done: list[Fault] = Factory(list)
     breaches: list[str] = Factory(list)
     configuration: dict[str, Any] = Factory(lambda: copy.deepcopy(CONFIGURATION))
-    _lock: threading.Lock = Factory(threading.Lock)
+    _lock: threading.RLock = Factory(threading.RLock)
+    _written: dict[str, dict[str, Any]] = Factory(dict)
     _version: int = 1
 
     @classmethod
@@ -118,8 +119,8 @@
         with self._lock:
             self._version += 1
             self.configuration["version"] = f"{self._version:08d}"
-            row = {"table": "op", "key": "config", "value": self.configuration}
-            self.site.write(row)
+            value = copy.deepcopy(self.configuration)
+            self._write({"table": "op", "key": "config", "value": value})
 
     def commit(self, fault: Fault) -> None:
         """Do a fault from its beginning to its end."""
@@ -212,6 +213,9 @@
     def _unsealed(self, target: int, length: float) -> None:
         self._misbehave(target, length, "unsealed")
 
+    def _limited(self, target: int, length: float) -> None:
+        self._misbehave(target, length, "limited")
+
     def _misbehave(self, target: int, length: float, mode: str) -> None:
         self.site.set_mode(target, mode)
         time.sleep(length)
@@ -229,6 +233,22 @@
     def _store_forgets(self, _: int, length: float) -> None:
         self.site.post(f"http://{self.site.store}/control/forget", None)
 
+    def _store_restored(self, _: int, length: float) -> None:
+        """Restore the store from a copy; what was written since is written again."""
+        with self._lock:
+            self._written.clear()
+            self.site.post(f"http://{self.site.store}/control/save", None)
+        time.sleep(length)
+        with self._lock:
+            rows = list(self._written.values())
+            self.site.post(f"http://{self.site.store}/control/restore", rows)
+
+    def _write(self, row: dict[str, Any]) -> None:
+        """Write a row as an operator or a target."""
+        with self._lock:
+            self.site.write(row)
+            self._written[f"{row['table']}/{row['key']}"] = row
+
     def _disturb_store(self, length: float, **faults) -> None:
         url = f"http://{self.site.store}/control/faults"
         self.site.post(url, faults)
@@ -237,15 +257,15 @@
 
     def _evacuate(self, target: int, length: float) -> None:
         key = f"evacuate/{self.find_domain(target)}"
-        self.site.write({"table": "op", "key": key, "value": {}})
+        self._write({"table": "op", "key": key, "value": {}})
         time.sleep(length)
-        self.site.write({"table": "op", "key": key, "value": None})
+        self._write({"table": "op", "key": key, "value": None})
 
     def _withdraw_target(self, target: int, length: float) -> None:
         row = self.site.list_runs(target)["row"]
-        self.site.write({**row, "value": None})
+        self._write({**row, "value": None})
         time.sleep(length)
-        self.site.write(json.loads(json.dumps(row)))
+        self._write(json.loads(json.dumps(row)))
 
     def _withdraw_key(self, _: int, length: float) -> None:
         self._configure(length, "two", "api_keys", ["another"])
--- a/tests/testkit/test_soak.py
+++ b/tests/testkit/test_soak.py
@@ -56,6 +56,16 @@
         found = judge([attempt], {"c0-0": [(50.0, 1), (50.1, 2), (50.2, 3)]})
         self.assertIn("ran 3 times", found[0])
 
+    def test_target_that_gets_more_than_it_advertised(self):
+        attempts = [build_attempt(n, began=50.0 + n / 4) for n in range(20)]
+        limited = Fault(45.0, 10.0, "limited", 1)
+        self.assertIn("limited", judge(attempts, faults=[limited], calm=50.0)[0])
+        other = Fault(45.0, 10.0, "limited", 2)
+        self.assertEqual(judge(attempts, faults=[other], calm=50.0), [])
+        frozen = Fault(46.0, 1.0, "freeze", 0)
+        faults = [limited, frozen]
+        self.assertEqual(judge(attempts, faults=faults, calm=50.0), [])
+
     def test_untrue_not_run(self):
         attempt = build_attempt(status=503)
         self.assertIn("answered 503, but ran", judge([attempt])[0])
@@ -146,7 +156,7 @@
         )
         self.assertGreater(overlaps, 50)
         kinds = {fault.kind for plan in plans for fault in plan}
-        self.assertEqual(len(kinds), 22)
+        self.assertEqual(len(kinds), 24)
 
 
 class SoakTests(TestCase):
