Give sites and fleets of the tests addresses of their own

In one run of the suite beside three busy processes a site's store answered 404 to /control/rows, in test_targets_stay_in_service; 690 others passed, and three runs before it had none. A fleet begins at an offset of its process id, so now and then it has the prefix of a site, and a call for the store meets the fleet's platform. Each has half of the prefixes now. Both modules pass; the whole suite runs once more after this.

--- a/packages/almondgap-testkit/almondgap_testkit/fleet.py
+++ b/packages/almondgap-testkit/almondgap_testkit/fleet.py
@@ -25,7 +25,7 @@
 EXAMPLE_NET = "127.10."
 
 #: Second octets that fleets of tests and demos may use.
-FIRST_NET = 20
+FIRST_NET = 135
 LAST_NET = 250
 
 #: Where the socket listens that guards a net.
--- a/packages/almondgap-testkit/almondgap_testkit/gateways/site.py
+++ b/packages/almondgap-testkit/almondgap_testkit/gateways/site.py
@@ -29,9 +29,9 @@
 STOP_TIMEOUT_S = 15.0
 POLL_S = 0.05
 
-#: Second octets of the loopback addresses that sites may use, and the address suffix
-#: and port of the socket that reserves them.
-FIRST_NET, LAST_NET = 20, 250
+#: Second octets of the loopback addresses that sites may use, apart from those of
+#: fleets, and the address suffix and port of the socket that reserves them.
+FIRST_NET, LAST_NET = 20, 135
 GUARD_SUFFIX, GUARD_PORT = "253.1", 6_998
 
 CONFIGURATION: dict[str, Any] = {
