Log a fingerprint of each request that a target broke off

An attempt that is lost is now logged with a digest of client account, method, path and body, which is the same for each repetition at any host.

--- a/packages/almondgap-core/almondgap_core/gateway/admission.py
+++ b/packages/almondgap-core/almondgap_core/gateway/admission.py
@@ -5,6 +5,8 @@
 
 from __future__ import annotations
 
+from hashlib import blake2b
+
 from almondgap_core.gateway.configuration import Account, Route
 from almondgap_core.gateway.events import CallArrived
 from almondgap_core.gateway.limit_shares import compute_limit_share
@@ -53,9 +55,21 @@
         account=account,
         service=choose_service(state, route),
         affinity_key=event.affinity_key,
+        fingerprint=compute_fingerprint(account, event.content),
     )
 
 
+def compute_fingerprint(account: Account | None, content: str) -> str:
+    """Return the fingerprint of an account's request, empty if there is none.
+
+    :param content: digest of the request's content.
+    """
+    if not content:
+        return ""
+    name = account.name if account is not None else ""
+    return blake2b(f"{name}\0{content}".encode(), digest_size=8).hexdigest()
+
+
 def choose_service(state: GatewayState, route: Route) -> str:
     """Return the next service of a route by smooth weighted round robin."""
     if len(route.backends) == 1:
--- a/packages/almondgap-core/almondgap_core/gateway/calls.py
+++ b/packages/almondgap-core/almondgap_core/gateway/calls.py
@@ -343,7 +343,15 @@
 ) -> None:
     took = (now - call.sent_at) // MICROS_PER_MILLI
     state.report(
-        AttemptLost(call.request_id, call.target, attempt, failure, verdict.value, took)
+        AttemptLost(
+            call.request_id,
+            call.target,
+            attempt,
+            failure,
+            verdict.value,
+            took,
+            call.fingerprint,
+        )
     )
 
 
--- a/packages/almondgap-core/almondgap_core/gateway/events.py
+++ b/packages/almondgap-core/almondgap_core/gateway/events.py
@@ -32,6 +32,8 @@
     :ivar key: API key of a client account, empty if there is none.
     :ivar affinity_key: key of the object that the request concerns, empty if not given.
     :ivar caller_timeout: how long the caller will wait.
+    :ivar content: digest of everything that a target sees of the request and that
+        is the same when it is repeated, empty if unknown.
     """
 
     call: int
@@ -42,6 +44,7 @@
     key: str
     affinity_key: str
     caller_timeout: int
+    content: str = ""
 
 
 @frozen
--- a/packages/almondgap-core/almondgap_core/gateway/reports.py
+++ b/packages/almondgap-core/almondgap_core/gateway/reports.py
@@ -103,6 +103,7 @@
 
     :ivar failure: how it failed.
     :ivar verdict: whether the request may have run there.
+    :ivar fingerprint: the same for each repetition of the request at any host.
     """
 
     request: str
@@ -111,6 +112,7 @@
     failure: str
     verdict: str
     took_ms: int
+    fingerprint: str
 
 
 @frozen
--- a/packages/almondgap-core/almondgap_core/gateway/state.py
+++ b/packages/almondgap-core/almondgap_core/gateway/state.py
@@ -54,6 +54,8 @@
 
     :ivar expires_at: when it is answered at the latest, whatever its state.
     :ivar caller_deadline: when its caller stops waiting.
+    :ivar fingerprint: identifies repetitions of the request by its client account at
+        any host, empty if unknown.
     :ivar sent_to: names of the targets to which it was sent, in order.
     :ivar failed_connects: attempts that failed before a connection was established.
     :ivar attempt: number of the attempt in flight, 0 if there is none.
@@ -74,6 +76,7 @@
     account: Account | None
     service: str
     affinity_key: str
+    fingerprint: str = ""
     sent_to: list[str] = Factory(list)
     failed_connects: int = 0
     attempt: int = 0
--- a/packages/almondgap-daemon/almondgap_daemon/gateway/runtime.py
+++ b/packages/almondgap-daemon/almondgap_daemon/gateway/runtime.py
@@ -5,6 +5,7 @@
 import json
 import traceback
 from collections.abc import Callable
+from hashlib import blake2b
 from http import HTTPStatus
 
 from attrs import define, field
@@ -194,6 +195,7 @@
                 caller.key,
                 caller.affinity_key,
                 caller.timeout,
+                _compute_content_digest(exchange, caller.host),
             )
         )
 
@@ -329,6 +331,15 @@
         self.log.write("internal error", source="attempt", cause=cause)
 
 
+def _compute_content_digest(exchange: Exchange, host: str) -> str:
+    """Return a digest that is the same for each repetition of a request."""
+    digest = blake2b(digest_size=16)
+    for part in (exchange.method, host.encode(), exchange.target):
+        digest.update(b"%d:%b" % (len(part), part))
+    digest.update(exchange.body)
+    return digest.hexdigest()
+
+
 def _encode_refusal(refusal: Refusal) -> bytes:
     return json.dumps(
         {
