Test that a request of death reaches no target after three crashes, failing

Eight hosts and sixteen targets in virtual time; the same deadly request comes four times a second at random hosts.

--- a/packages/almondgap-testkit/almondgap_testkit/gateways/simulation.py
+++ b/packages/almondgap-testkit/almondgap_testkit/gateways/simulation.py
@@ -68,6 +68,11 @@
 
 TICK_US = millis(250)
 
+#: Time from the start of a deadly request to the crash of its target, and from there
+#: until the target accepts requests again.
+CRASH_DELAY_US = millis(80)
+RESTART_DELAY_US = seconds(4)
+
 #: Cache size of a model target, and service time of a cache miss relative to a hit: in
 #: recorded runs a target evicted an object after some 16 others.
 MAX_CACHED_OBJECTS = 16
@@ -88,6 +93,8 @@
         none, None for a malformed value.
     :ivar arrivals: times of all requests that reached it, each with its host.
     :ivar runs: request ids that it started to process, with the time.
+    :ivar contents: times at which requests with a content reached it.
+    :ivar crashes: times at which it crashed.
     :ivar cache_misses: number of objects that it had to fetch.
     """
 
@@ -103,6 +110,8 @@
     cached: dict[str, int] = Factory(dict)
     arrivals: list[tuple[int, str]] = Factory(list)
     runs: list[tuple[int, str]] = Factory(list)
+    contents: list[tuple[int, str]] = Factory(list)
+    crashes: list[int] = Factory(list)
     cache_misses: int = 0
 
     def compute_service_time(self, affinity_key: str) -> int:
@@ -159,6 +168,7 @@
     :ivar outcomes: outcomes of requests, in order of their answers.
     :ivar reports: reports of the hosts, each with its time and host name.
     :ivar isolated: names of hosts that other hosts cannot reach.
+    :ivar deadly: contents of requests that crash each target that runs them.
     """
 
     configuration: Configuration
@@ -170,6 +180,7 @@
     outcomes: list[RequestOutcome] = Factory(list)
     reports: list[tuple[int, str, object]] = Factory(list)
     isolated: set[str] = Factory(set)
+    deadly: set[str] = Factory(set)
     _last_number: int = 0
     _last_incarnation: int = 0
     _number_by_request_id: dict[str, int] = field(factory=dict)
@@ -215,6 +226,7 @@
         affinity_key: str = "1",
         key: str = "key-of-one",
         caller_timeout: int = seconds(3),
+        content: str = "",
     ) -> str:
         """Feed the arrival of a request at a host; return the request's id."""
         self._last_number += 1
@@ -230,6 +242,7 @@
             key,
             affinity_key,
             caller_timeout,
+            content,
         )
         if model.alive:
             model.open[self._last_number] = event
@@ -257,6 +270,7 @@
         end = at + duration
         object_count = call.pop("things", 20)
         prefix = call.pop("object_prefix", "")
+        content = call.pop("content", None)
         while True:
             at += round(self.rng.expovariate(rate) * 1_000_000)
             if at >= end:
@@ -266,10 +280,30 @@
             self.clock.call_at(
                 at,
                 lambda host=host, affinity_key=affinity_key: self.call(
-                    host, affinity_key=affinity_key, **call
+                    host,
+                    affinity_key=affinity_key,
+                    content=affinity_key if content is None else content,
+                    **call,
                 ),
             )
 
+    def crash_target(self, name: str, restart_after: int = RESTART_DELAY_US) -> None:
+        """Break off all requests at a target, which accepts none until it is back.
+
+        :param restart_after: microseconds.
+        """
+        target = self.targets[name]
+        target.crashes.append(self.clock.now)
+        target.mode = "dead"
+        target.running = 0
+        target.waiting.clear()
+        for host in self.hosts.values():
+            for send in list(host.attempts.values()):
+                if send.target == name:
+                    failure = (Failure.CONNECTION_LOST, Verdict.MAY_HAVE_RUN)
+                    self._deliver_result(host, send, AttemptFailed, *failure)
+        self.clock.call_later(restart_after, lambda: setattr(target, "mode", "well"))
+
     def run(self, duration: int) -> None:
         """Advance the virtual time.
 
@@ -421,7 +455,13 @@
         self, host: ModelHost, send: Send, target: ModelTarget, event: CallArrived
     ) -> None:
         slots = target.announcement.slots
+        if target.mode == "dead":
+            # The connection was established before the target crashed.
+            failure = (Failure.CONNECTION_LOST, Verdict.MAY_HAVE_RUN)
+            self._deliver_result(host, send, AttemptFailed, *failure)
+            return
         target.arrivals.append((self.clock.now, host.state.location.host))
+        target.contents.append((self.clock.now, event.content))
         if target.mode == "shedding" or len(target.waiting) >= target.queue_length:
             self._answer(host, send, target, 503, not_executed=True)
         elif target.running < slots:
@@ -434,10 +474,22 @@
     ) -> None:
         target.running += 1
         target.runs.append((self.clock.now, event.request_id))
+        life = len(target.crashes)
+        if event.content in self.deadly:
+            name = target.announcement.target
+            self.clock.call_later(
+                CRASH_DELAY_US,
+                lambda: len(target.crashes) == life and self.crash_target(name),
+            )
+            return
         took = target.compute_service_time(event.affinity_key)
-        self.clock.call_later(took, lambda: self._finish(host, send, target))
+        self.clock.call_later(took, lambda: self._finish(host, send, target, life))
 
-    def _finish(self, host: ModelHost, send: Send, target: ModelTarget) -> None:
+    def _finish(
+        self, host: ModelHost, send: Send, target: ModelTarget, life: int
+    ) -> None:
+        if len(target.crashes) != life:
+            return
         target.running -= 1
         while target.waiting and target.running < target.announcement.slots:
             waiting_host, waiting, event = target.waiting.popleft()
