Quarantine requests that crashed three targets, over all hosts

Callers saw: one request, repeated at any host, ended 25 and 31 targets of a service within a minute; of some 90 catalogue reads a second 2 to 13 were answered in time. Cause: a crash was nobody's evidence. Each host retried what a target broke off, and no host could tell that it was the same request again. Class: a bound over the fleet that each host keeps for itself, and a retry that carries its fault along. Change: a request that is in progress when a target crashes is suspected by its fingerprint (account, method, path, body). Hosts tell each other at once; crashes are only added or marked as cleared by an answer, so reports merge in any order. After two crashes without an answer it is retried no more and sent once at a time, to a target without other suspects; after three it is refused with 503, not run. At most two trials follow, by one host each. A crash is a broken connection, then a refused one, at a host that reaches other targets.

--- a/packages/almondgap-core/almondgap_core/gateway/calls.py
+++ b/packages/almondgap-core/almondgap_core/gateway/calls.py
@@ -36,6 +36,14 @@
 )
 from almondgap_core.gateway.overload import check_overload
 from almondgap_core.gateway.placement import choose_target
+from almondgap_core.gateway.quarantine import (
+    check_quarantine,
+    clear_call,
+    confirm_crashes,
+    may_retry_suspect,
+    record_trial,
+    suspect_call,
+)
 from almondgap_core.gateway.refusals import (
     plan_retry,
     refuse_arrival,
@@ -103,12 +111,17 @@
 
 def place_call(state: GatewayState, call: Call, now: int) -> None:
     """Send a request to the best target, or refuse it if it cannot be served."""
+    refusal = check_quarantine(state, call, now)
+    if refusal is not None:
+        send_refusal(state, call, now, refusal)
+        return
     choice = choose_target(state, call, now)
     if choice is None:
         refuse_unplaced(state, call, now)
         return
     refusal = check_overload(state, call, choice, now)
     if refusal is None:
+        record_trial(state, call, now)
         send_call(state, call, choice, now)
         return
     send_refusal(state, call, now, refusal)
@@ -123,6 +136,8 @@
     target = state.targets.get(call.target)
     if target is not None:
         record_answer(state, call, target, event)
+    state.last_contact_at = now
+    confirm_crashes(state, now)
     call.attempt = 0
     if event.misdirected:
         record_misdirected(state, call, now)
@@ -135,6 +150,7 @@
             state, call, now, f"target rejected the request with status {event.status}"
         )
     elif event.sealed and not event.not_executed and _is_deliverable(event.status):
+        clear_call(state, call, now)
         _deliver(state, call, event)
     else:
         _handle_bad_answer(state, call, event)
@@ -155,6 +171,9 @@
         return
     if event.verdict is not Verdict.NOT_RUN:
         call.may_have_run = True
+        target = state.targets.get(call.target)
+        if event.failure is Failure.CONNECTION_LOST and target is not None:
+            suspect_call(state, call, target, now)
     elif event.failure is Failure.NOT_CONNECTED:
         call.sent_to.pop()
         call.failed_connects += 1
@@ -215,6 +234,10 @@
         return
     call = admitted
     state.calls[call.number] = call
+    quarantined = check_quarantine(state, call, now)
+    if quarantined is not None:
+        send_refusal(state, call, now, quarantined)
+        return
     state.perform(StartExpiryTimer(call.number, max(0, call.expires_at - now)))
     if call.account is not None:
         bucket = get_token_bucket(state, call.account)
@@ -306,6 +329,8 @@
 def _may_retry(state: GatewayState, call: Call, now: int) -> bool:
     if len(call.sent_to) >= call.route.max_attempts or not _has_time(state, call, now):
         return False
+    if not may_retry_suspect(state, call):
+        return False
     budget = state.retry_budgets.setdefault(call.service, RetryBudget())
     if budget.take():
         return True
--- a/packages/almondgap-core/almondgap_core/gateway/effects.py
+++ b/packages/almondgap-core/almondgap_core/gateway/effects.py
@@ -7,6 +7,7 @@
 from almondgap_core.gateway.events import StoreTable
 from almondgap_core.gateway.heartbeats import AdvertisedLimits, Heartbeat, StoreView
 from almondgap_core.gateway.reports import Report
+from almondgap_core.gateway.suspects import Suspects
 from almondgap_core.verdict import Refusal
 
 
@@ -87,6 +88,14 @@
     path: str
 
 
+@frozen
+class CheckConnection(GatewayEffect):
+    """Find out whether a target accepts connections, without sending a request."""
+
+    target: str
+    address: str
+
+
 @frozen
 class CloseIdleConnections(GatewayEffect):
     """Close the idle connections to a target that receives no more requests."""
@@ -127,6 +136,17 @@
     addresses: tuple[str, ...]
 
 
+@frozen
+class SendSuspects(GatewayEffect):
+    """Tell other hosts which requests were in progress at targets that crashed.
+
+    :ivar addresses: peer addresses of these hosts.
+    """
+
+    message: Suspects
+    addresses: tuple[str, ...]
+
+
 @frozen
 class ReadTable(GatewayEffect):
     """Read the changes of a table at once, in place of a call that waits for them."""
--- a/packages/almondgap-core/almondgap_core/gateway/events.py
+++ b/packages/almondgap-core/almondgap_core/gateway/events.py
@@ -8,6 +8,7 @@
 
 from almondgap_core.gateway.configuration import Configuration
 from almondgap_core.gateway.heartbeats import AdvertisedLimits, Heartbeat, StoreView
+from almondgap_core.gateway.suspects import Suspects
 from almondgap_core.gateway.target import Announcement
 from almondgap_core.verdict import Verdict
 
@@ -122,6 +123,18 @@
     rate_limit: float | None = None
 
 
+@frozen
+class ConnectionChecked(GatewayEvent):
+    """A check whether a target accepts connections finished.
+
+    :ivar accepted: whether it accepted the connection or refused it, None if it did
+        neither in time.
+    """
+
+    target: str
+    accepted: bool | None
+
+
 @frozen
 class ConfigurationRead(GatewayEvent):
     """A configuration was read from the store."""
@@ -220,6 +233,13 @@
     advertised: AdvertisedLimits
 
 
+@frozen
+class SuspectsReceived(GatewayEvent):
+    """Another host told which requests were in progress at targets that crashed."""
+
+    suspects: Suspects
+
+
 @frozen
 class HeartbeatReceived(GatewayEvent):
     """A heartbeat of another host arrived."""
--- a/packages/almondgap-core/almondgap_core/gateway/fleet.py
+++ b/packages/almondgap-core/almondgap_core/gateway/fleet.py
@@ -18,6 +18,7 @@
 from almondgap_core.gateway.limit_shares import update_membership
 from almondgap_core.gateway.reports import HostChanged, StopBegun
 from almondgap_core.gateway.state import GatewayState, Peer
+from almondgap_core.gateway.suspect_exchange import send_all_suspects, send_suspects
 from almondgap_core.gateway.target_limits import send_all_limits, send_limits
 from almondgap_core.units import MICROS_PER_MILLI, millis, seconds
 
@@ -84,8 +85,9 @@
         state.report(
             HostChanged(heartbeat.location.host, new_state, silence // MICROS_PER_MILLI)
         )
-    if known is None or known.incarnation != heartbeat.incarnation:
-        # Answer a host that has just started with a heartbeat at once.
+    has_started = known is None or known.incarnation != heartbeat.incarnation
+    if has_started or peer.unresponsive:
+        # Tell a host that has just started or was silent at once what it lacks.
         peer.last_sent_at = None
         state.next_heartbeat_at = event.now
     peer.unresponsive = False
@@ -194,6 +196,8 @@
         state.perform(SendHeartbeat(heartbeat, tuple(addresses)))
         send_limits(state, tuple(addresses), now)
         send_all_limits(state, tuple(newcomers), now)
+        send_suspects(state, tuple(addresses), now)
+        send_all_suspects(state, tuple(newcomers))
 
 
 def _choose_interval(state: GatewayState, peer: Peer) -> int:
--- a/packages/almondgap-core/almondgap_core/gateway/health.py
+++ b/packages/almondgap-core/almondgap_core/gateway/health.py
@@ -10,6 +10,7 @@
 from almondgap_core.gateway.discovery import WARMUP_MARGIN_US
 from almondgap_core.gateway.effects import CloseIdleConnections, Probe
 from almondgap_core.gateway.events import (
+    ConnectionChecked,
     GatewayEvent,
     ProbeEnded,
     TargetAnswered,
@@ -158,6 +159,13 @@
     _report(state, target, "up", "probe succeeded")
 
 
+def handle_connection_checked(state: GatewayState, event: ConnectionChecked) -> None:
+    """Mark a target as down that refuses connections."""
+    target = state.targets.get(event.target)
+    if target is not None and event.accepted is False:
+        mark_down(state, target, event.now, "connection refused")
+
+
 def discount_cache_miss(call: Call, ratio: float) -> float:
     """Return how slow a target was, without the time for fetching an object.
 
@@ -206,6 +214,7 @@
 
 
 EVENT_HANDLERS: dict[type[GatewayEvent], object] = {
+    ConnectionChecked: handle_connection_checked,
     ProbeEnded: handle_probe_ended,
     Ticked: handle_tick,
 }
--- a/packages/almondgap-core/almondgap_core/gateway/placement.py
+++ b/packages/almondgap-core/almondgap_core/gateway/placement.py
@@ -14,6 +14,7 @@
 
 from attrs import frozen
 
+from almondgap_core.gateway.quarantine import list_suspected_targets
 from almondgap_core.gateway.ranking import compute_score
 from almondgap_core.gateway.region_plan import plan_shares
 from almondgap_core.gateway.state import Call, GatewayState
@@ -87,6 +88,8 @@
     ranked = _rank_targets(state, call, affinity_key)
     candidates = _pick_candidates(state, call, ranked, affinity_key, now)
     usable = [entry for entry in candidates if is_usable(state, entry[1], now)]
+    suspected = list_suspected_targets(state, call)
+    usable = [entry for entry in usable if entry[1].name not in suspected] or usable
     # Targets whose announcement is missing are the last resort: after an outage of the
     # store, all of them may be missing.
     listed = [
--- a/packages/almondgap-core/almondgap_core/gateway/reducer.py
+++ b/packages/almondgap-core/almondgap_core/gateway/reducer.py
@@ -10,8 +10,10 @@
     discovery,
     fleet,
     health,
+    quarantine,
     rollout,
     store_views,
+    suspect_exchange,
     target_limits,
 )
 from almondgap_core.gateway.effects import GatewayEffect
@@ -28,6 +30,8 @@
     store_views,
     target_limits,
     health,
+    suspect_exchange,
+    quarantine,
     calls,
 )
 
--- a/packages/almondgap-core/almondgap_core/gateway/reports.py
+++ b/packages/almondgap-core/almondgap_core/gateway/reports.py
@@ -181,6 +181,34 @@
     source: str
 
 
+@frozen
+class TargetCrashed(Report):
+    """A target broke off requests and refuses connections.
+
+    :ivar requests: number of requests of this host that were in progress there.
+    """
+
+    target: str
+    requests: int
+
+
+@frozen
+class RequestSuspected(Report):
+    """What is known about a request in progress at targets that crashed has changed.
+
+    :ivar crashes: number of crashes since a target last answered it.
+    :ivar quarantined: whether it is refused.
+    :ivar trials: number of times it was sent while in quarantine.
+    :ivar source: host that observed the change.
+    """
+
+    fingerprint: str
+    crashes: int
+    quarantined: bool
+    trials: int
+    source: str
+
+
 @frozen
 class ConfigurationChanged(Report):
     """Another version of the configuration is in force on this host."""
--- a/packages/almondgap-core/almondgap_core/gateway/state.py
+++ b/packages/almondgap-core/almondgap_core/gateway/state.py
@@ -18,6 +18,7 @@
 from almondgap_core.gateway.reports import Report
 from almondgap_core.gateway.retry_budget import RetryBudget
 from almondgap_core.gateway.store_knowledge import StoreKnowledge
+from almondgap_core.gateway.suspects import LostTarget, Suspect
 from almondgap_core.gateway.target import (
     Announcement,
     DecayingAverage,
@@ -164,6 +165,12 @@
     :ivar last_correlation_id: correlation id of the latest token request.
     :ivar service_times: service time of a cached object, by route; excludes queueing.
     :ivar failure_shares: share of failures at all targets, by service.
+    :ivar suspects: requests that were in progress at targets that crashed, by
+        fingerprint.
+    :ivar cleared_suspects: fingerprints of those that were cleared since the last tick.
+    :ivar lost_targets: targets that broke off requests and may have crashed, by name.
+    :ivar last_contact_at: when a target last answered this host or accepted a
+        connection.
     :ivar backend_credit: credit of each service in the weighted round robin of a route.
     :ivar last_event_at: time of the latest event, in microseconds.
     :ivar effects: effects of the current step.
@@ -210,6 +217,10 @@
     retry_budgets: dict[str, RetryBudget] = Factory(dict)
     service_times: dict[str, DecayingAverage] = Factory(dict)
     failure_shares: dict[str, FailureShare] = Factory(dict)
+    suspects: dict[str, Suspect] = Factory(dict)
+    cleared_suspects: set[str] = Factory(set)
+    lost_targets: dict[str, LostTarget] = Factory(dict)
+    last_contact_at: int = 0
     backend_credit: dict[str, dict[str, float]] = Factory(dict)
     last_event_at: int = 0
     effects: list[GatewayEffect] = Factory(list)
--- a/packages/almondgap-core/almondgap_core/verdict.py
+++ b/packages/almondgap-core/almondgap_core/verdict.py
@@ -40,6 +40,7 @@
     STOPPING = "stopping"
     BAD_REQUEST = "bad-request"
     BODY_TOO_LARGE = "body-too-large"
+    QUARANTINED = "quarantined"
     TARGET_FAILED = "target-failed"
     OPERATION_ELSEWHERE = "operation-elsewhere"
     OPERATION_UNKNOWN = "operation-unknown"
--- a/packages/almondgap-daemon/almondgap_daemon/gateway/messages.py
+++ b/packages/almondgap-daemon/almondgap_daemon/gateway/messages.py
@@ -21,6 +21,7 @@
     HostLocation,
     StoreView,
 )
+from almondgap_core.gateway.suspects import Crash, SuspectReport, Suspects
 
 #: Version of the message format. A host ignores messages of other versions.
 FORMAT_VERSION = 1
@@ -53,10 +54,19 @@
 
 
 #: Message types by their number on the wire, which is the position in this tuple.
-MESSAGE_TYPES = (Heartbeat, TokenRequest, TokenResponse, StoreView, AdvertisedLimits)
+MESSAGE_TYPES = (
+    Heartbeat,
+    TokenRequest,
+    TokenResponse,
+    StoreView,
+    AdvertisedLimits,
+    Suspects,
+)
 
 
-Message = Heartbeat | TokenRequest | TokenResponse | StoreView | AdvertisedLimits
+Message = (
+    Heartbeat | TokenRequest | TokenResponse | StoreView | AdvertisedLimits | Suspects
+)
 
 
 def encode_message(message: Message) -> bytes:
@@ -83,6 +93,8 @@
             message.correlation_id,
             message.tokens,
         )
+    elif isinstance(message, Suspects):
+        fields = (message.host, [_encode_suspect(each) for each in message.reports])
     elif isinstance(message, StoreView):
         fields = astuple(message)
     elif isinstance(message, AdvertisedLimits):
@@ -139,9 +151,35 @@
     return limit
 
 
+def _encode_suspect(report: SuspectReport) -> tuple:
+    crashes = [
+        (crash.target, crash.incarnation, crash in report.cleared)
+        for crash in report.crashes
+    ]
+    return report.fingerprint, report.trials, crashes
+
+
+def _decode_suspects(host, reports) -> Suspects:
+    return Suspects(str(host), tuple(_decode_suspect(*each) for each in reports))
+
+
+def _decode_suspect(fingerprint, trials, crashes) -> SuspectReport:
+    known = [
+        (Crash(str(target), int(incarnation)), bool(cleared))
+        for target, incarnation, cleared in crashes
+    ]
+    return SuspectReport(
+        str(fingerprint),
+        tuple(crash for crash, _ in known),
+        tuple(crash for crash, cleared in known if cleared),
+        int(trials),
+    )
+
+
 _DECODERS = {
     AdvertisedLimits: _decode_advertised_limits,
     Heartbeat: _decode_heartbeat,
+    Suspects: _decode_suspects,
     TokenRequest: lambda reply_to, account, correlation_id, tokens: TokenRequest(
         str(reply_to), str(account), int(correlation_id), float(tokens)
     ),
--- a/packages/almondgap-daemon/almondgap_daemon/gateway/runtime.py
+++ b/packages/almondgap-daemon/almondgap_daemon/gateway/runtime.py
@@ -13,6 +13,7 @@
 from almondgap_core.gateway.effects import (
     Abandon,
     Cancel,
+    CheckConnection,
     CloseIdleConnections,
     Deliver,
     GatewayEffect,
@@ -26,6 +27,7 @@
     SendAdvertisedLimits,
     SendHeartbeat,
     SendStoreView,
+    SendSuspects,
     StartExpiryTimer,
     StartTokenTimer,
 )
@@ -37,6 +39,7 @@
     GatewayEvent,
     HeartbeatReceived,
     StoreViewReceived,
+    SuspectsReceived,
     Ticked,
     TokensGranted,
     TokensRequested,
@@ -45,6 +48,7 @@
 from almondgap_core.gateway.heartbeats import AdvertisedLimits, Heartbeat, StoreView
 from almondgap_core.gateway.reducer import fail_call, step
 from almondgap_core.gateway.state import GatewayState
+from almondgap_core.gateway.suspects import Suspects
 from almondgap_core.units import MICROS_PER_SECOND
 from almondgap_core.verdict import Refusal
 from almondgap_daemon.gateway.logs import ReportLog
@@ -123,6 +127,7 @@
             Abandon: self._abandon,
             StartExpiryTimer: self._expire,
             Probe: self.target_client.probe,
+            CheckConnection: self.target_client.check_connection,
             CloseIdleConnections: lambda effect: self.target_client.pool.close_server(
                 effect.target
             ),
@@ -135,6 +140,9 @@
             SendAdvertisedLimits: lambda effect: self.send_message(
                 effect.message, *effect.addresses
             ),
+            SendSuspects: lambda effect: self.send_message(
+                effect.message, *effect.addresses
+            ),
             ReadTable: lambda effect: self.read_table(effect.table),
             RequestTokens: self._ask_tokens,
             GrantTokens: self._give_tokens,
@@ -208,6 +216,8 @@
             self.feed(StoreViewReceived(now, message))
         elif isinstance(message, AdvertisedLimits):
             self.feed(AdvertisedLimitsReceived(now, message))
+        elif isinstance(message, Suspects):
+            self.feed(SuspectsReceived(now, message))
         elif isinstance(message, TokenRequest):
             fields = (message.reply_to, message.account, message.correlation_id)
             self.feed(TokensRequested(now, *fields, message.tokens))
--- a/packages/almondgap-daemon/almondgap_daemon/gateway/target_client.py
+++ b/packages/almondgap-daemon/almondgap_daemon/gateway/target_client.py
@@ -8,9 +8,10 @@
 from attrs import define, field
 from twisted.internet.defer import CancelledError, Deferred, inlineCallbacks
 
-from almondgap_core.gateway.effects import Probe, Send
+from almondgap_core.gateway.effects import CheckConnection, Probe, Send
 from almondgap_core.gateway.events import (
     AttemptFailed,
+    ConnectionChecked,
     Failure,
     GatewayEvent,
     ProbeEnded,
@@ -20,6 +21,7 @@
 from almondgap_daemon.http.connection import ClientConnection, Request
 from almondgap_daemon.http.pool import MAX_IDLE_S, ConnectionPool
 from almondgap_daemon.http.response import (
+    ConnectionRefused,
     InvalidResponse,
     NoSocket,
     NotConnected,
@@ -142,6 +144,21 @@
         limit = None if rate == inf else rate
         self.feed(ProbeEnded(self.now(), probe.target, healthy, warm_up_left, limit))
 
+    @inlineCallbacks
+    def check_connection(self, check: CheckConnection):
+        """Connect to a target, close the connection and feed the result as an event."""
+        accepted = None
+        try:
+            conn = yield self.pool.connect(check.address)
+        except ConnectionRefused:
+            accepted = False
+        except NotConnected:
+            pass
+        else:
+            accepted = True
+            conn.close()
+        self.feed(ConnectionChecked(self.now(), check.target, accepted))
+
     def _report_failure(self, send: Send, failure: Failure, verdict: Verdict) -> None:
         self.feed(AttemptFailed(self.now(), send.call, send.attempt, failure, verdict))
 
--- a/packages/almondgap-daemon/almondgap_daemon/http/pool.py
+++ b/packages/almondgap-daemon/almondgap_daemon/http/pool.py
@@ -5,12 +5,16 @@
 from attrs import Factory, define
 from twisted.internet.defer import Deferred, succeed
 from twisted.internet.endpoints import TCP4ClientEndpoint
-from twisted.internet.error import ConnectBindError
+from twisted.internet.error import ConnectBindError, ConnectionRefusedError
 from twisted.internet.protocol import Factory as ProtocolFactory
 
 from almondgap_daemon.http.buffers import BufferLedger
 from almondgap_daemon.http.connection import ClientConnection
-from almondgap_daemon.http.response import NoSocket, NotConnected
+from almondgap_daemon.http.response import (
+    ConnectionRefused,
+    NoSocket,
+    NotConnected,
+)
 
 #: Time-out of connection attempts, in seconds: above the longest round trip, and below
 #: the time after which the kernel retransmits a lost SYN.
@@ -69,6 +73,15 @@
                 conn.on_idle_close = None
                 return succeed(conn)
             conn.close()
+        return self.connect(address)
+
+    def connect(self, address: str) -> Deferred[ClientConnection]:
+        """Open a new connection, which is in no pool.
+
+        :raises NotConnected: the connection could not be established.
+        :raises ConnectionRefused: the server refused it.
+        :raises NoSocket: this host has no socket left.
+        """
         host, _, port = address.rpartition(":")
         try:
             endpoint = TCP4ClientEndpoint(
@@ -131,6 +144,10 @@
 
 
 def _raise_not_connected(failure, address: str):
-    # Twisted reports a socket that could not be created or bound in this way.
-    kind = NoSocket if failure.check(ConnectBindError) else NotConnected
+    kind = NotConnected
+    if failure.check(ConnectBindError):
+        # Twisted reports a socket that could not be created or bound in this way.
+        kind = NoSocket
+    elif failure.check(ConnectionRefusedError):
+        kind = ConnectionRefused
     raise kind(f"{address}: {failure.getErrorMessage()}") from failure.value
--- a/packages/almondgap-daemon/almondgap_daemon/http/response.py
+++ b/packages/almondgap-daemon/almondgap_daemon/http/response.py
@@ -45,6 +45,10 @@
     """The connection could not be established; nothing was sent."""
 
 
+class ConnectionRefused(NotConnected):
+    """The server refused the connection."""
+
+
 class NoSocket(NotConnected):
     """This host has no socket left for a connection."""
 
--- a/packages/almondgap-testkit/almondgap_testkit/gateways/simulation.py
+++ b/packages/almondgap-testkit/almondgap_testkit/gateways/simulation.py
@@ -11,12 +11,13 @@
 from collections import deque
 from math import inf
 
-from attrs import Factory, define, field
+from attrs import Factory, define, evolve, field
 
 from almondgap_core.gateway.configuration import Configuration
 from almondgap_core.gateway.effects import (
     Abandon,
     Cancel,
+    CheckConnection,
     CloseIdleConnections,
     Deliver,
     GrantTokens,
@@ -27,6 +28,7 @@
     Send,
     SendAdvertisedLimits,
     SendHeartbeat,
+    SendSuspects,
     StartExpiryTimer,
     StartTokenTimer,
 )
@@ -37,10 +39,13 @@
     CallerLeft,
     CallExpired,
     ConfigurationRead,
+    ConnectionChecked,
     Failure,
     GatewayEvent,
     HeartbeatReceived,
     ProbeEnded,
+    SuspectsReceived,
+    TargetAnnounced,
     TargetAnswered,
     TargetsRead,
     TargetWithdrawn,
@@ -130,6 +135,7 @@
     """The outcome of a caller's request; times in microseconds.
 
     :ivar refusal: the host's own answer, None if a target answered.
+    :ivar content: content of the request.
     """
 
     request_id: str
@@ -139,6 +145,7 @@
     idempotent: bool
     status: int
     refusal: Refusal | None = None
+    content: str = ""
 
     @property
     def latency(self) -> int:
@@ -302,7 +309,14 @@
                 if send.target == name:
                     failure = (Failure.CONNECTION_LOST, Verdict.MAY_HAVE_RUN)
                     self._deliver_result(host, send, AttemptFailed, *failure)
-        self.clock.call_later(restart_after, lambda: setattr(target, "mode", "well"))
+        self.clock.call_later(restart_after, lambda: self._restart_target(target))
+
+    def _restart_target(self, target: ModelTarget) -> None:
+        target.mode = "well"
+        incarnation = target.announcement.incarnation + 1
+        target.announcement = evolve(target.announcement, incarnation=incarnation)
+        for host in self.hosts.values():
+            self._feed(host, TargetAnnounced, target.announcement)
 
     def run(self, duration: int) -> None:
         """Advance the virtual time.
@@ -349,6 +363,17 @@
             elif isinstance(effect, SendAdvertisedLimits):
                 message = (AdvertisedLimitsReceived, effect.message)
                 self._send_message(host, effect.addresses, *message)
+            elif isinstance(effect, SendSuspects):
+                message = (SuspectsReceived, effect.message)
+                self._send_message(host, effect.addresses, *message)
+            elif isinstance(effect, CheckConnection):
+                accepted = self.targets[effect.target].mode != "dead"
+                self.clock.call_later(
+                    2 * ONE_WAY_DELAY_US,
+                    lambda target=effect.target, accepted=accepted: self._feed(
+                        host, ConnectionChecked, target, accepted
+                    ),
+                )
             elif isinstance(effect, Probe):
                 self._probe(host, effect)
             elif isinstance(effect, RequestTokens | GrantTokens):
@@ -383,6 +408,7 @@
                     route is not None and route.idempotent,
                     status,
                     refusal,
+                    event.content,
                 )
             )
 
--- a/tests/daemon/gateway/test_messages.py
+++ b/tests/daemon/gateway/test_messages.py
@@ -13,6 +13,7 @@
     Heartbeat,
     StoreView,
 )
+from almondgap_core.gateway.suspects import Crash, SuspectReport, Suspects
 from almondgap_daemon.gateway.messages import (
     TokenRequest,
     TokenResponse,
@@ -34,6 +35,13 @@
                 (AdvertisedLimit("t1", 5, 2.5, 6), AdvertisedLimit("t2", 5, inf, 0)),
             ),
             AdvertisedLimits("h1", ()),
+            Suspects(
+                "h1",
+                (
+                    SuspectReport("f1", (Crash("t1", 5), Crash("t2", 6)), (), 0),
+                    SuspectReport("f2", (Crash("t1", 5),), (Crash("t1", 5),), 2),
+                ),
+            ),
         ):
             self.assertEqual(decode_message(encode_message(message)), message)
 
@@ -45,6 +53,10 @@
             msgpack.packb([1, 4, "h1", [["t1", 5, rate, age]]])
             for rate, age in ((nan, 0), (-1.0, 0), (2.0, -1), ("x", 0), (None, 0))
         ]
+        broken += [
+            msgpack.packb([1, 5, "h1", [report]])
+            for report in (5, ["f"], ["f", "x", []], ["f", 0, [["t1"]]], ["f", 0, 7])
+        ]
         broken += [heartbeat[:length] for length in range(len(heartbeat))]
         broken += [rng.randbytes(40) for _ in range(200)]
         for data in broken:
