--- a/tests/daemon/http/test_pool.py
+++ b/tests/daemon/http/test_pool.py
@@ -15,7 +15,11 @@
 from twisted.python.failure import Failure
 
 from almondgap_daemon.http.pool import ConnectionPool
-from almondgap_daemon.http.response import NoSocket, NotConnected
+from almondgap_daemon.http.response import (
+    ConnectionRefused,
+    NoSocket,
+    NotConnected,
+)
 
 
 @define
@@ -43,5 +47,5 @@
     def test_host_without_sockets_is_told_from_a_server_that_refuses(self):
         error = ConnectBindError(EMFILE, "too many open files")
         self.assertIs(fail_connection(error), NoSocket)
-        for error in (ConnectionRefusedError(), TimeoutError()):
-            self.assertIs(fail_connection(error), NotConnected)
+        self.assertIs(fail_connection(ConnectionRefusedError()), ConnectionRefused)
+        self.assertIs(fail_connection(TimeoutError()), NotConnected)
