--- a/packages/almondgap-core/almondgap_core/gateway/health.py
+++ b/packages/almondgap-core/almondgap_core/gateway/health.py
@@ -30,7 +30,7 @@
     record_rate_limit,
     take_limit_token,
 )
-from almondgap_core.units import millis, seconds
+from almondgap_core.units import MICROS_PER_MILLI, millis, seconds
 
 #: Delay before the first probe of a target that is down, and maximum interval between
 #: probes.
@@ -114,7 +114,8 @@
     target.failed_probes = 0
     target.next_probe_at = now + INITIAL_PROBE_DELAY_US
     state.perform(CloseIdleConnections(target.name))
-    _report(state, target, "down", cause)
+    silent = (now - state.last_contact_at) // MICROS_PER_MILLI
+    _report(state, target, "down", cause, silent if state.last_contact_at else None)
 
 
 def handle_tick(state: GatewayState, event: Ticked) -> None:
@@ -208,9 +209,15 @@
     return min(max(ratio, MIN_SLOWDOWN_SAMPLE), MAX_SLOWDOWN_SAMPLE)
 
 
-def _report(state: GatewayState, target: Target, new_state: str, cause: str) -> None:
+def _report(
+    state: GatewayState,
+    target: Target,
+    new_state: str,
+    cause: str,
+    silent_ms: int | None = None,
+) -> None:
     service = target.announcement.service
-    state.report(TargetChanged(target.name, service, new_state, cause))
+    state.report(TargetChanged(target.name, service, new_state, cause, silent_ms))
 
 
 EVENT_HANDLERS: dict[type[GatewayEvent], object] = {
--- a/packages/almondgap-core/almondgap_core/gateway/reports.py
+++ b/packages/almondgap-core/almondgap_core/gateway/reports.py
@@ -157,12 +157,15 @@
 
     :ivar state: new, ready, draining, gone, down, up, cold or ignored.
     :ivar cause: what was observed.
+    :ivar silent_ms: time since this host last reached any target, None if it is not
+        known.
     """
 
     target: str
     service: str
     state: str
     cause: str
+    silent_ms: int | None = None
 
 
 @frozen
