--- a/packages/almondgap-testkit/almondgap_testkit/gateways/simulation.py
+++ b/packages/almondgap-testkit/almondgap_testkit/gateways/simulation.py
@@ -73,6 +73,12 @@
 
 TICK_US = millis(250)
 
+#: Time after which an attempt to connect is given up.
+CONNECT_TIMEOUT_US = millis(500)
+
+#: Share of the requests that are sent on connections established before.
+REUSED_SHARE = 0.5
+
 #: Time from the start of a deadly request to the crash of its target, and from there
 #: until the target accepts requests again.
 CRASH_DELAY_US = millis(80)
@@ -175,6 +181,9 @@
     :ivar outcomes: outcomes of requests, in order of their answers.
     :ivar reports: reports of the hosts, each with its time and host name.
     :ivar isolated: names of hosts that other hosts cannot reach.
+    :ivar partitioned: hosts that reach no target, with the manner: ``hang`` (nothing is
+        answered), ``reset`` (connections break, then hang), ``refuse`` (connections
+        live on, new ones are refused).
     :ivar deadly: contents of requests that crash each target that runs them.
     """
 
@@ -187,6 +196,7 @@
     outcomes: list[RequestOutcome] = Factory(list)
     reports: list[tuple[int, str, object]] = Factory(list)
     isolated: set[str] = Factory(set)
+    partitioned: dict[str, str] = Factory(dict)
     deadly: set[str] = Factory(set)
     _last_number: int = 0
     _last_incarnation: int = 0
@@ -294,6 +304,15 @@
                 ),
             )
 
+    def partition_host(self, name: str, manner: str = "hang") -> None:
+        """Cut a host off from all targets; see ``partitioned``."""
+        self.partitioned[name] = manner
+        host = self.hosts[name]
+        for send in list(host.attempts.values()):
+            if manner == "reset":
+                failure = (Failure.CONNECTION_LOST, Verdict.MAY_HAVE_RUN)
+                self._fail_attempt(host, send, *failure)
+
     def crash_target(self, name: str, restart_after: int = RESTART_DELAY_US) -> None:
         """Break off all requests at a target, which accepts none until it is back.
 
@@ -367,13 +386,7 @@
                 message = (SuspectsReceived, effect.message)
                 self._send_message(host, effect.addresses, *message)
             elif isinstance(effect, CheckConnection):
-                accepted = self.targets[effect.target].mode != "dead"
-                self.clock.call_later(
-                    2 * ONE_WAY_DELAY_US,
-                    lambda target=effect.target, accepted=accepted: self._feed(
-                        host, ConnectionChecked, target, accepted
-                    ),
-                )
+                self._check_connection(host, effect.target)
             elif isinstance(effect, Probe):
                 self._probe(host, effect)
             elif isinstance(effect, RequestTokens | GrantTokens):
@@ -455,10 +468,22 @@
             ONE_WAY_DELAY_US, lambda: self._feed(self.hosts[name], *event)
         )
 
+    def _check_connection(self, host: ModelHost, target: str) -> None:
+        manner = self.partitioned.get(host.state.location.host)
+        delay, accepted = 2 * ONE_WAY_DELAY_US, self.targets[target].mode != "dead"
+        if manner == "refuse":
+            accepted = False
+        elif manner is not None:
+            delay, accepted = CONNECT_TIMEOUT_US, None
+        event = (ConnectionChecked, target, accepted)
+        self.clock.call_later(delay, lambda: self._feed(host, *event))
+
     def _probe(self, host: ModelHost, effect: Probe) -> None:
         target = self.targets[effect.target]
-        target.arrivals.append((self.clock.now, host.state.location.host))
-        healthy = target.mode in ("well", "failing")
+        is_partitioned = host.state.location.host in self.partitioned
+        healthy = target.mode in ("well", "failing") and not is_partitioned
+        if not is_partitioned:
+            target.arrivals.append((self.clock.now, host.state.location.host))
         self.clock.call_later(
             2 * ONE_WAY_DELAY_US,
             lambda: self._feed(host, ProbeEnded, effect.target, healthy),
@@ -468,7 +493,17 @@
         host.attempts[send.call, send.attempt] = send
         target = self.targets[send.target]
         event = host.open[send.call]
-        if target.mode == "dead":
+        manner = self.partitioned.get(host.state.location.host)
+        is_reused = self.rng.random() < REUSED_SHARE
+        if manner is not None and not (manner == "refuse" and is_reused):
+            if manner == "hang" and is_reused:
+                return
+            delay = 0 if manner == "refuse" else CONNECT_TIMEOUT_US
+            failure = (Failure.NOT_CONNECTED, Verdict.NOT_RUN)
+            self.clock.call_later(
+                delay, lambda: self._fail_attempt(host, send, *failure)
+            )
+        elif target.mode == "dead":
             failure = (Failure.NOT_CONNECTED, Verdict.NOT_RUN)
             self._deliver_result(host, send, AttemptFailed, *failure)
         else:
@@ -538,8 +573,15 @@
         fields = (status, not_executed, False, sealed, load, target.rate_limit)
         self._deliver_result(host, send, TargetAnswered, *fields)
 
+    def _fail_attempt(self, host: ModelHost, send: Send, *failure) -> None:
+        if host.attempts.pop((send.call, send.attempt), None) is not None:
+            self._feed(host, AttemptFailed, send.call, send.attempt, *failure)
+
     def _deliver_result(self, host: ModelHost, send: Send, kind, *args) -> None:
         def arrive() -> None:
+            manner = self.partitioned.get(host.state.location.host)
+            if manner is not None and manner != "refuse":
+                return
             if host.attempts.pop((send.call, send.attempt), None) is not None:
                 self._feed(host, kind, send.call, send.attempt, *args)
 
