Hand requests to another host while this one reaches no target

Callers saw: hosts that had lost their targets for 12 s, but not their callers, served 0 of 219 and 0 of 271 first tries; the other hosts 762 of 767 and 708 of 717. Cause: a host knew targets one by one only. It waited half a second for a connection to each of them, or up to the deadline for an answer on one that lived on, and when all were down it refused what its peers could have served. Class: evidence about others that is evidence about oneself. Change: when a target can't be reached or none has answered for 750 ms while requests are in progress, a host tries to connect to others in other failure domains. With three out of reach in two failure domains and none within reach it regards itself as partitioned, says so in its heartbeats, and hands requests to a peer's port for callers: once at most, only in the regions that the request may enter, with the time and the number of attempts left. The peer authenticates, takes the token and chooses the target. The directory names such a host only if its region has no other, it is in charge of no warm-up and no trial, and what it observed of its targets is discarded when two of them accept connections again.

--- a/packages/almondgap-core/almondgap_core/gateway/admission.py
+++ b/packages/almondgap-core/almondgap_core/gateway/admission.py
@@ -56,6 +56,8 @@
         service=choose_service(state, route),
         affinity_key=event.affinity_key,
         fingerprint=compute_fingerprint(account, event.content),
+        is_relayed=event.prior_attempts is not None,
+        prior_attempts=event.prior_attempts or 0,
     )
 
 
--- a/packages/almondgap-core/almondgap_core/gateway/attempts.py
+++ b/packages/almondgap-core/almondgap_core/gateway/attempts.py
@@ -7,6 +7,7 @@
 from almondgap_core.gateway.fleet import count_hosts
 from almondgap_core.gateway.health import mark_down, record_outcome
 from almondgap_core.gateway.placement import Choice
+from almondgap_core.gateway.reachability import record_unreached
 from almondgap_core.gateway.reports import RequestPlaced
 from almondgap_core.gateway.state import Call, GatewayState
 from almondgap_core.gateway.target_limits import take_limit_token
@@ -26,7 +27,7 @@
 def send_call(state: GatewayState, call: Call, choice: Choice, now: int) -> None:
     """Send a request to a target."""
     target = choice.target
-    call.attempt = len(call.sent_to) + call.failed_connects + 1
+    call.attempt = len(call.sent_to) + call.failed_connects + call.relays + 1
     call.sent_to.append(target.name)
     call.sent_at = now
     call.expected_if_cached = choice.expected_if_cached
@@ -84,6 +85,7 @@
     record_outcome(state, target, 1.0, event.now)
     if event.failure is Failure.NOT_CONNECTED:
         mark_down(state, target, event.now, "connection failed")
+        record_unreached(state, target, event.now)
 
 
 def record_timeout(state: GatewayState, call: Call, now: int) -> None:
--- a/packages/almondgap-core/almondgap_core/gateway/calls.py
+++ b/packages/almondgap-core/almondgap_core/gateway/calls.py
@@ -51,6 +51,12 @@
     refuse_unplaced,
     send_refusal,
 )
+from almondgap_core.gateway.relays import (
+    choose_relay,
+    end_relay,
+    needs_relay,
+    relay_call,
+)
 from almondgap_core.gateway.reports import (
     AttemptLost,
     CallerGone,
@@ -115,6 +121,11 @@
     if refusal is not None:
         send_refusal(state, call, now, refusal)
         return
+    if needs_relay(state, call):
+        peer = choose_relay(state, call, now)
+        if peer is not None:
+            relay_call(state, call, peer, now)
+            return
     choice = choose_target(state, call, now)
     if choice is None:
         refuse_unplaced(state, call, now)
@@ -136,17 +147,16 @@
     target = state.targets.get(call.target)
     if target is not None:
         record_answer(state, call, target, event)
-    state.last_contact_at = now
     confirm_crashes(state, now)
     call.attempt = 0
     if event.misdirected:
         record_misdirected(state, call, now)
-        _retry_or_refuse(state, call, now, "address belongs to another target")
+        retry_or_refuse(state, call, now, "address belongs to another target")
     elif event.not_executed and event.status >= MIN_FAILURE_STATUS:
-        _report_attempt_lost(
+        report_attempt_lost(
             state, call, event.attempt, "not executed", Verdict.NOT_RUN, now
         )
-        _retry_or_refuse(
+        retry_or_refuse(
             state, call, now, f"target rejected the request with status {event.status}"
         )
     elif event.sealed and not event.not_executed and _is_deliverable(event.status):
@@ -165,7 +175,7 @@
     record_failure(state, call, event)
     call.attempt = 0
     failure = event.failure.value
-    _report_attempt_lost(state, call, event.attempt, failure, event.verdict, now)
+    report_attempt_lost(state, call, event.attempt, failure, event.verdict, now)
     if event.failure is Failure.NO_SOCKET:
         refuse_call(state, call, now, 503, Reason.NO_CAPACITY, "no socket left")
         return
@@ -180,7 +190,7 @@
         if call.failed_connects < MAX_FAILED_CONNECTS and _has_time(state, call, now):
             place_call(state, call, now)
             return
-    _retry_or_refuse(state, call, now, failure)
+    retry_or_refuse(state, call, now, failure)
 
 
 def handle_caller_left(state: GatewayState, event: CallerLeft) -> None:
@@ -205,7 +215,8 @@
     if call is None:
         return
     if call.attempt:
-        record_timeout(state, call, event.now)
+        if not call.relay_host:
+            record_timeout(state, call, event.now)
         call.may_have_run = True
         stop_attempt(state, call, cancel=True)
         call.attempt = 0
@@ -220,8 +231,9 @@
     """
     if not call.attempt:
         return
-    target = state.targets.get(call.target)
-    if target is not None:
+    if call.relay_host:
+        end_relay(state, call)
+    elif (target := state.targets.get(call.target)) is not None:
         target.in_flight = max(0, target.in_flight - 1)
     effect = Cancel if cancel else Abandon
     state.perform(effect(call.number, call.attempt))
@@ -239,6 +251,10 @@
         send_refusal(state, call, now, quarantined)
         return
     state.perform(StartExpiryTimer(call.number, max(0, call.expires_at - now)))
+    if needs_relay(state, call) and choose_relay(state, call, now) is not None:
+        # The other host takes the token of the client account.
+        place_call(state, call, now)
+        return
     if call.account is not None:
         bucket = get_token_bucket(state, call.account)
         bucket.demand.count(now)
@@ -299,11 +315,11 @@
     """Handle a server error of a target, or an answer without its seal."""
     call.may_have_run = True
     now = event.now
-    if call.route.idempotent and _may_retry(state, call, now):
+    if call.route.idempotent and may_retry(state, call, now):
         failure = f"answered {event.status}"
         verdict = Verdict.MAY_HAVE_RUN
-        _report_attempt_lost(state, call, event.attempt, failure, verdict, now)
-        _retry(state, call, now, failure)
+        report_attempt_lost(state, call, event.attempt, failure, verdict, now)
+        retry_call(state, call, now, failure)
     elif event.sealed and event.status not in NOT_RUN_STATUSES:
         # The target's own error; the caller receives it unchanged.
         _deliver(state, call, event)
@@ -314,10 +330,11 @@
         refuse_call(state, call, now, 502, Reason.TARGET_FAILED, detail)
 
 
-def _retry_or_refuse(state: GatewayState, call: Call, now: int, failure: str) -> None:
+def retry_or_refuse(state: GatewayState, call: Call, now: int, failure: str) -> None:
+    """Retry a request after a failed attempt if that is safe, otherwise refuse it."""
     safe = call.route.idempotent or not call.may_have_run
-    if safe and _may_retry(state, call, now):
-        _retry(state, call, now, failure)
+    if safe and may_retry(state, call, now):
+        retry_call(state, call, now, failure)
         return
     if call.may_have_run:
         refuse_call(state, call, now, 502, Reason.TARGET_FAILED, failure)
@@ -326,8 +343,10 @@
     refuse_call(state, call, now, 503, Reason.TARGET_FAILED, failure, retry_after)
 
 
-def _may_retry(state: GatewayState, call: Call, now: int) -> bool:
-    if len(call.sent_to) >= call.route.max_attempts or not _has_time(state, call, now):
+def may_retry(state: GatewayState, call: Call, now: int) -> bool:
+    """Take a retry from the budget and return whether a request may be retried."""
+    attempts = len(call.sent_to) + call.prior_attempts
+    if attempts >= call.route.max_attempts or not _has_time(state, call, now):
         return False
     if not may_retry_suspect(state, call):
         return False
@@ -339,7 +358,8 @@
     return False
 
 
-def _retry(state: GatewayState, call: Call, now: int, failure: str) -> None:
+def retry_call(state: GatewayState, call: Call, now: int, failure: str) -> None:
+    """Place a request once more."""
     left = round(state.retry_budgets[call.service].tokens, 2)
     attempt = len(call.sent_to) + 1
     state.report(RequestRetried(call.request_id, attempt, failure, left))
@@ -358,7 +378,7 @@
     budget.record_request(bounds.retry_ratio, bounds.retry_burst, count_hosts(state))
 
 
-def _report_attempt_lost(
+def report_attempt_lost(
     state: GatewayState,
     call: Call,
     attempt: int,
@@ -366,6 +386,7 @@
     verdict: Verdict,
     now: int,
 ) -> None:
+    """Log that an attempt failed."""
     took = (now - call.sent_at) // MICROS_PER_MILLI
     state.report(
         AttemptLost(
--- a/packages/almondgap-core/almondgap_core/gateway/effects.py
+++ b/packages/almondgap-core/almondgap_core/gateway/effects.py
@@ -37,6 +37,24 @@
     max_idle: int
 
 
+@frozen
+class Relay(GatewayEffect):
+    """Hand a request over to another host.
+
+    :ivar attempt: number of the attempt, counted from 1 for each request.
+    :ivar address: address of that host for callers.
+    :ivar time_left: time that it may take, in microseconds.
+    :ivar prior_attempts: number of targets to which the request was sent before.
+    """
+
+    call: int
+    attempt: int
+    host: str
+    address: str
+    time_left: int
+    prior_attempts: int
+
+
 @frozen
 class Deliver(GatewayEffect):
     """Forward the answer that was read from the target to the caller."""
--- a/packages/almondgap-core/almondgap_core/gateway/events.py
+++ b/packages/almondgap-core/almondgap_core/gateway/events.py
@@ -46,6 +46,7 @@
     affinity_key: str
     caller_timeout: int
     content: str = ""
+    prior_attempts: int | None = None
 
 
 @frozen
@@ -85,6 +86,19 @@
     rate_limit: float | None = None
 
 
+@frozen
+class RelayAnswered(GatewayEvent):
+    """Another host's answer to a request that was handed over was read completely.
+
+    :ivar sealed: whether the answer carries the seal that only targets set.
+    """
+
+    call: int
+    attempt: int
+    status: int
+    sealed: bool
+
+
 class Failure(Enum):
     """How an attempt failed."""
 
--- a/packages/almondgap-core/almondgap_core/gateway/fleet.py
+++ b/packages/almondgap-core/almondgap_core/gateway/fleet.py
@@ -148,21 +148,29 @@
     """Return addresses for a caller: ready hosts, near the caller if there are any.
 
     If the caller's failure domain has a single host, those of the whole region are
-    returned, so that the caller has another one when that host fails.
+    returned, so that the caller has another one when that host fails. Hosts that reach
+    no target are returned only if the region has no others.
     """
     ready = [
-        peer.location for peer in list_live_peers(state, now) if peer.heartbeat.ready
+        (peer.location, peer.heartbeat.reaches_targets)
+        for peer in list_live_peers(state, now)
+        if peer.heartbeat.ready
     ]
     if state.ready:
-        ready.append(state.location)
+        ready.append((state.location, state.partitioned_since is None))
+    useful = [location for location, reaches_targets in ready if reaches_targets]
     nearby = [
-        location for location in ready if location.failure_domain == failure_domain
+        location for location in useful if location.failure_domain == failure_domain
     ]
     if len(nearby) < 2:
-        nearby = [location for location in ready if location.region == region]
+        nearby = [location for location in useful if location.region == region]
+    if not nearby:
+        nearby = [location for location, _ in ready if location.region == region]
     if not nearby:
         nearby = [
-            location for location in ready if location.region == state.location.region
+            location
+            for location, _ in ready
+            if location.region == state.location.region
         ]
     return sorted(location.caller_address for location in nearby)[:MAX_ADVERTISED_HOSTS]
 
@@ -181,6 +189,7 @@
         state.heartbeat_sequence,
         state.ready,
         state.version,
+        state.partitioned_since is None,
     )
     addresses = []
     newcomers = []
--- a/packages/almondgap-core/almondgap_core/gateway/heartbeats.py
+++ b/packages/almondgap-core/almondgap_core/gateway/heartbeats.py
@@ -29,6 +29,7 @@
     :ivar sequence: number of the heartbeat within the run.
     :ivar ready: whether callers may be directed to it.
     :ivar version: version of its configuration, 0 if it has none.
+    :ivar reaches_targets: whether it reaches any target.
     """
 
     location: HostLocation
@@ -36,6 +37,7 @@
     sequence: int
     ready: bool
     version: int = 0
+    reaches_targets: bool = True
 
 
 @frozen
--- a/packages/almondgap-core/almondgap_core/gateway/quarantine.py
+++ b/packages/almondgap-core/almondgap_core/gateway/quarantine.py
@@ -62,7 +62,6 @@
     """Forget a broken connection unless its target has crashed."""
     now = event.now
     if event.accepted:
-        state.last_contact_at = now
         state.lost_targets.pop(event.target, None)
     lost = state.lost_targets.get(event.target)
     if lost is not None and event.accepted is False:
@@ -200,7 +199,9 @@
 ) -> int:
     """Return when this host may try a request in quarantine again."""
     locations = [
-        peer.location for peer in list_live_peers(state, now) if peer.heartbeat.ready
+        peer.location
+        for peer in list_live_peers(state, now)
+        if peer.heartbeat.ready and peer.heartbeat.reaches_targets
     ]
     hosts = sort_hosts([*locations, state.location], fingerprint, "")
     turn = hosts.index(state.location) * TURN_US
--- a/packages/almondgap-core/almondgap_core/gateway/reducer.py
+++ b/packages/almondgap-core/almondgap_core/gateway/reducer.py
@@ -11,6 +11,8 @@
     fleet,
     health,
     quarantine,
+    reachability,
+    relayed_calls,
     rollout,
     store_views,
     suspect_exchange,
@@ -30,8 +32,10 @@
     store_views,
     target_limits,
     health,
+    reachability,
     suspect_exchange,
     quarantine,
+    relayed_calls,
     calls,
 )
 
--- a/packages/almondgap-core/almondgap_core/gateway/reports.py
+++ b/packages/almondgap-core/almondgap_core/gateway/reports.py
@@ -212,6 +212,41 @@
     source: str
 
 
+@frozen
+class ReachabilityChanged(Report):
+    """This host reaches no target any more, or some again.
+
+    :ivar unreached: number of targets to which no connection could be established.
+    :ivar silent_ms: time since it last reached any target, or length of the partition.
+    """
+
+    reaches_targets: bool
+    unreached: int
+    silent_ms: int
+
+
+@frozen
+class RequestRelayed(Report):
+    """A request was handed over to another host, since this one reaches no target.
+
+    :ivar left_ms: time left for the request.
+    """
+
+    request: str
+    peer: str
+    left_ms: int
+
+
+@frozen
+class RelayAnswerForwarded(Report):
+    """The answer of the host that got a request was forwarded to the caller."""
+
+    request: str
+    peer: str
+    status: int
+    took_ms: int
+
+
 @frozen
 class ConfigurationChanged(Report):
     """Another version of the configuration is in force on this host."""
--- a/packages/almondgap-core/almondgap_core/gateway/state.py
+++ b/packages/almondgap-core/almondgap_core/gateway/state.py
@@ -66,6 +66,10 @@
         object in its cache.
     :ivar sent_recently: whether this host sent the object to that target a short time
         ago.
+    :ivar is_relayed: whether another host handed it over.
+    :ivar prior_attempts: number of targets to which that host sent it before.
+    :ivar relayed_to: hosts to which this one handed it over, in order.
+    :ivar relay_host: host that has it now, empty if none does.
     """
 
     number: int
@@ -85,6 +89,15 @@
     sent_at: int = 0
     expected_if_cached: int = 0
     sent_recently: bool = False
+    is_relayed: bool = False
+    prior_attempts: int = 0
+    relayed_to: list[str] = Factory(list)
+    relay_host: str = ""
+
+    @property
+    def relays(self) -> int:
+        """Number of hosts to which it was handed over."""
+        return len(self.relayed_to)
 
     @property
     def account_name(self) -> str:
@@ -110,6 +123,9 @@
     :ivar departed: whether it no longer counts as a member: it has ended, or has been
         silent for a long time.
     :ivar discovered_at: when this host first learned of it.
+    :ivar relayed: requests of this host that it has now.
+    :ivar relay_backoff_until: when it may be handed requests again after it could not
+        be reached.
     """
 
     location: HostLocation
@@ -121,6 +137,8 @@
     stop_announced: bool = False
     departed: bool = False
     discovered_at: int = 0
+    relayed: int = 0
+    relay_backoff_until: int = 0
 
 
 @define
@@ -171,6 +189,10 @@
     :ivar lost_targets: targets that broke off requests and may have crashed, by name.
     :ivar last_contact_at: when a target last answered this host or accepted a
         connection.
+    :ivar partitioned_since: since when this host reaches no target, None if it does.
+    :ivar unreached: targets to which no connection could be established, with the time.
+    :ivar reached: targets that accepted a connection during the partition.
+    :ivar checking: targets to which a connection is being tried.
     :ivar backend_credit: credit of each service in the weighted round robin of a route.
     :ivar last_event_at: time of the latest event, in microseconds.
     :ivar effects: effects of the current step.
@@ -221,6 +243,10 @@
     cleared_suspects: set[str] = Factory(set)
     lost_targets: dict[str, LostTarget] = Factory(dict)
     last_contact_at: int = 0
+    partitioned_since: int | None = None
+    unreached: dict[str, int] = Factory(dict)
+    reached: set[str] = Factory(set)
+    checking: set[str] = Factory(set)
     backend_credit: dict[str, dict[str, float]] = Factory(dict)
     last_event_at: int = 0
     effects: list[GatewayEffect] = Factory(list)
@@ -236,6 +262,12 @@
         """Version of the configuration in force, 0 if there is none."""
         return self.configuration.version if self.configuration else 0
 
+    def announce_at_once(self, now: int) -> None:
+        """Send a heartbeat to all hosts with the next tick."""
+        for peer in self.peers.values():
+            peer.last_sent_at = 0
+        self.next_heartbeat_at = now
+
     def perform(self, effect: GatewayEffect) -> None:
         """Add an effect to the result of the current step."""
         self.effects.append(effect)
--- a/packages/almondgap-core/almondgap_core/gateway/warmup.py
+++ b/packages/almondgap-core/almondgap_core/gateway/warmup.py
@@ -29,7 +29,9 @@
         return False
     locations = [state.location]
     locations += [
-        peer.location for peer in list_live_peers(state, now) if peer.heartbeat.ready
+        peer.location
+        for peer in list_live_peers(state, now)
+        if peer.heartbeat.ready and peer.heartbeat.reaches_targets
     ]
     region = state.find_region(target.announcement.failure_domain)
     first, *_ = sort_hosts(locations, target.name, region)
--- a/packages/almondgap-daemon/almondgap_daemon/gateway/messages.py
+++ b/packages/almondgap-daemon/almondgap_daemon/gateway/messages.py
@@ -86,6 +86,9 @@
             message.ready,
             message.version,
         )
+        if not message.reaches_targets:
+            # Hosts of earlier releases ignore a heartbeat with this field.
+            fields += (False,)
     elif isinstance(message, TokenRequest):
         fields = (
             message.reply_to,
@@ -127,13 +130,16 @@
         raise MessageError(f"malformed message: {exc!r}") from exc
 
 
-def _decode_heartbeat(location, incarnation, sequence, ready, version) -> Heartbeat:
+def _decode_heartbeat(
+    location, incarnation, sequence, ready, version, reaches_targets=True
+) -> Heartbeat:
     return Heartbeat(
         HostLocation(*(str(part) for part in location)),
         int(incarnation),
         int(sequence),
         bool(ready),
         int(version),
+        bool(reaches_targets),
     )
 
 
--- a/packages/almondgap-daemon/almondgap_daemon/gateway/runtime.py
+++ b/packages/almondgap-daemon/almondgap_daemon/gateway/runtime.py
@@ -22,6 +22,7 @@
     Probe,
     ReadTable,
     Refuse,
+    Relay,
     RequestTokens,
     Send,
     SendAdvertisedLimits,
@@ -121,6 +122,7 @@
         self.target_client = TargetClient(self.reactor, self.feed, self.now)
         self._effect_handlers = {
             Send: self._send,
+            Relay: self._send,
             Deliver: self._deliver,
             Refuse: self._refuse,
             Cancel: self._cancel,
@@ -204,6 +206,7 @@
                 caller.affinity_key,
                 caller.timeout,
                 _compute_content_digest(exchange, caller.host),
+                caller.prior_attempts,
             )
         )
 
@@ -232,7 +235,7 @@
             self.feed(CallerLeft(self.now(), exchange.number))
             self._finish(pending)
 
-    def _send(self, effect: Send) -> None:
+    def _send(self, effect: Send | Relay) -> None:
         pending = self._pending[effect.call]
         pending.attempt = Attempt(effect)
 
@@ -240,9 +243,9 @@
             pending.response = response
 
         # The outcome arrives as an event; the errback only sees internal errors.
-        done = self.target_client.send(
-            pending.attempt, pending.exchange, store_response
-        )
+        client = self.target_client
+        perform = client.relay if isinstance(effect, Relay) else client.send
+        done = perform(pending.attempt, pending.exchange, store_response)
         done.addErrback(self._report_error)
 
     def _deliver(self, effect: Deliver) -> None:
--- a/packages/almondgap-daemon/almondgap_daemon/gateway/target_client.py
+++ b/packages/almondgap-daemon/almondgap_daemon/gateway/target_client.py
@@ -8,13 +8,14 @@
 from attrs import define, field
 from twisted.internet.defer import CancelledError, Deferred, inlineCallbacks
 
-from almondgap_core.gateway.effects import CheckConnection, Probe, Send
+from almondgap_core.gateway.effects import CheckConnection, Probe, Relay, Send
 from almondgap_core.gateway.events import (
     AttemptFailed,
     ConnectionChecked,
     Failure,
     GatewayEvent,
     ProbeEnded,
+    RelayAnswered,
     TargetAnswered,
 )
 from almondgap_core.verdict import Verdict
@@ -37,6 +38,11 @@
 #: retried when it was sent on a connection that is being closed.
 MAX_IDLE_NON_IDEMPOTENT_S = 1.0
 
+#: Idle time up to which a connection to another host is used, in seconds, and maximum
+#: number of idle connections to it.
+MAX_RELAY_IDLE_S = 1.0
+MAX_IDLE_RELAYS = 8
+
 #: Time-out of a health check, in seconds.
 PROBE_TIMEOUT_S = 1.0
 
@@ -46,14 +52,14 @@
 
 @define(eq=False)
 class Attempt:
-    """One attempt to run a request at a target.
+    """One attempt to run a request at a target, or to hand it over to a host.
 
     :ivar conn: connection that the request was sent on, None before.
     :ivar connecting: pending acquisition of the connection.
     :ivar cancelled: whether the outcome is no longer of interest.
     """
 
-    send: Send
+    send: Send | Relay
     conn: ClientConnection | None = None
     connecting: Deferred | None = None
     cancelled: bool = False
@@ -90,34 +96,77 @@
         """
         send = attempt.send
         max_idle_s = MAX_IDLE_NON_IDEMPOTENT_S if send.fresh else MAX_IDLE_S
+        request = _build_request(send, exchange)
+        response = yield self._exchange(
+            attempt, request, send.target, max_idle_s, send.max_idle
+        )
+        if response is not None:
+            on_response(response)
+            self.feed(_build_answer_event(self.now(), send, response))
+
+    @inlineCallbacks
+    def relay(self, attempt: Attempt, exchange: Exchange, on_response: Callable):
+        """Hand a request over to another host and feed its answer as an event.
+
+        :param on_response: called with the response before the event is fed.
+        """
+        relay = attempt.send
+        headers = names.make_relay_headers(
+            exchange.headers,
+            relay.prior_attempts,
+            relay.time_left,
+            len(exchange.body),
+        )
+        request = Request(exchange.method, exchange.target, headers, exchange.body)
+        server = f"host {relay.host}"
+        response = yield self._exchange(
+            attempt, request, server, MAX_RELAY_IDLE_S, MAX_IDLE_RELAYS
+        )
+        if response is not None:
+            on_response(response)
+            sealed = response.get(names.SEAL) is not None
+            fields = (relay.call, relay.attempt, response.status, sealed)
+            self.feed(RelayAnswered(self.now(), *fields))
+
+    @inlineCallbacks
+    def _exchange(
+        self,
+        attempt: Attempt,
+        request: Request,
+        server: str,
+        max_idle_s: float,
+        max_idle: int,
+    ):
+        """Return the response to a request, or None after feeding its failure.
+
+        :param max_idle_s: limit of the idle time of a reused connection, in seconds.
+        :param max_idle: limit of idle connections to the server.
+        """
+        send = attempt.send
         try:
-            attempt.connecting = self.pool.acquire(
-                send.target, send.address, max_idle_s
-            )
+            attempt.connecting = self.pool.acquire(server, send.address, max_idle_s)
             conn = yield attempt.connecting
         except NoSocket:
             self._report_failure(send, Failure.NO_SOCKET, Verdict.NOT_RUN)
-            return
+            return None
         except (NotConnected, CancelledError):
             if not attempt.cancelled:
                 self._report_failure(send, Failure.NOT_CONNECTED, Verdict.NOT_RUN)
-            return
+            return None
         if attempt.cancelled:
-            self.pool.release(send.target, conn, 0)
-            return
+            self.pool.release(server, conn, 0)
+            return None
         attempt.conn = conn
-        request = _build_request(send, exchange)
         try:
             response: Response = yield conn.send(request)
         except InvalidResponse:
             self._report_failure(send, Failure.MALFORMED, Verdict.MAY_HAVE_RUN)
-            return
+            return None
         except Exception:
             self._report_failure(send, Failure.CONNECTION_LOST, Verdict.MAY_HAVE_RUN)
-            return
-        self.pool.release(send.target, conn, send.max_idle)
-        on_response(response)
-        self.feed(_build_answer_event(self.now(), send, response))
+            return None
+        self.pool.release(server, conn, max_idle)
+        return response
 
     @inlineCallbacks
     def probe(self, probe: Probe):
@@ -159,7 +208,9 @@
             conn.close()
         self.feed(ConnectionChecked(self.now(), check.target, accepted))
 
-    def _report_failure(self, send: Send, failure: Failure, verdict: Verdict) -> None:
+    def _report_failure(
+        self, send: Send | Relay, failure: Failure, verdict: Verdict
+    ) -> None:
         self.feed(AttemptFailed(self.now(), send.call, send.attempt, failure, verdict))
 
 
--- a/packages/almondgap-daemon/almondgap_daemon/platform/headers.py
+++ b/packages/almondgap-daemon/almondgap_daemon/platform/headers.py
@@ -19,6 +19,10 @@
 ACCOUNT = b"x-almondgap-tenant"
 EXPECTED_TARGET = b"x-almondgap-expect-instance"
 
+#: Set on a request that another host hands over, with the number of targets to which it
+#: was sent before.
+RELAYED = b"almondgap-relayed"
+
 SEAL = b"x-almondgap-response-seal"
 NOT_EXECUTED = b"x-almondgap-not-executed"
 LOAD = b"x-almondgap-server-load"
@@ -33,11 +37,14 @@
 
 #: Request headers that are not forwarded, since this host sets or consumes them.
 _MANAGED_HEADERS = frozenset(
-    {ACCOUNT, EXPECTED_TARGET, DEADLINE, b"authorization", b"expect"}
+    {ACCOUNT, EXPECTED_TARGET, DEADLINE, RELAYED, b"authorization", b"expect"}
 )
 
 MICROS_PER_MILLI = 1_000
 
+#: Maximum number of digits of a count of attempts.
+MAX_COUNT_DIGITS = 3
+
 #: A decimal number of requests per second.
 _RATE = re.compile(rb"\d{1,15}(\.\d{0,15})?|\.\d{1,15}")
 
@@ -49,6 +56,8 @@
     :ivar host: host name without a port, in lower case.
     :ivar key: bearer token.
     :ivar timeout: time for which the caller waits, in microseconds.
+    :ivar prior_attempts: number of targets to which another host sent the request
+        before it handed it over, None if it comes from a caller.
     """
 
     host: str
@@ -56,6 +65,7 @@
     affinity_key: str
     key: str
     timeout: int
+    prior_attempts: int | None
 
 
 def parse_caller_headers(headers: RawHeaders) -> CallerHeaders:
@@ -70,6 +80,7 @@
         affinity_key=_decode_value(find_header(headers, AFFINITY_KEY)),
         key=key.strip() if scheme.lower() == "bearer" else "",
         timeout=_parse_timeout(find_header(headers, DEADLINE)),
+        prior_attempts=_parse_prior_attempts(find_header(headers, RELAYED)),
     )
 
 
@@ -82,13 +93,36 @@
     :param time_left: time until the request's deadline, in microseconds.
     :param body_bytes: length of the body, in bytes.
     """
-    dropped = list_connection_headers(headers)
+    forwarded = _forward_headers(headers, _MANAGED_HEADERS, time_left, body_bytes)
+    forwarded.append((b"X-Almondgap-Expect-Instance", target.encode()))
+    if account:
+        forwarded.append((b"X-Almondgap-Tenant", account.encode()))
+    return forwarded
+
+
+def make_relay_headers(
+    headers: RawHeaders, prior_attempts: int, time_left: int, body_bytes: int
+) -> RawHeaders:
+    """Return the headers of the request that is handed over to another host.
+
+    :param headers: headers of the caller's request.
+    :param prior_attempts: number of targets to which it was sent before.
+    :param time_left: time until the request's deadline, in microseconds.
+    :param body_bytes: length of the body, in bytes.
+    """
+    managed = frozenset({DEADLINE, RELAYED, b"expect"})
+    forwarded = _forward_headers(headers, managed, time_left, body_bytes)
+    forwarded.append((b"Almondgap-Relayed", str(prior_attempts).encode()))
+    return forwarded
+
+
+def _forward_headers(
+    headers: RawHeaders, managed: frozenset[bytes], time_left: int, body_bytes: int
+) -> RawHeaders:
+    """Return the headers to forward, with the body's length and the time left."""
+    dropped = list_connection_headers(headers) | managed | {b"content-length"}
     forwarded = [
-        (name, value)
-        for name, value in headers
-        if name.lower() not in dropped
-        and name.lower() not in _MANAGED_HEADERS
-        and name.lower() != b"content-length"
+        (name, value) for name, value in headers if name.lower() not in dropped
     ]
     framed = any(
         name.lower() in (b"content-length", b"transfer-encoding") for name, _ in headers
@@ -98,9 +132,6 @@
     forwarded.append(
         (b"X-Almondgap-Deadline-Ms", str(time_left // MICROS_PER_MILLI).encode())
     )
-    forwarded.append((b"X-Almondgap-Expect-Instance", target.encode()))
-    if account:
-        forwarded.append((b"X-Almondgap-Tenant", account.encode()))
     return forwarded
 
 
@@ -162,5 +193,12 @@
     )
 
 
+def _parse_prior_attempts(value: bytes | None) -> int | None:
+    """Return the number of earlier attempts, 0 if it is malformed."""
+    if value is None:
+        return None
+    return int(value) if value.isdigit() and len(value) <= MAX_COUNT_DIGITS else 0
+
+
 def _decode_value(value: bytes | None) -> str:
     return (value or b"").decode("latin-1").strip()
--- a/packages/almondgap-testkit/almondgap_testkit/gateways/simulation.py
+++ b/packages/almondgap-testkit/almondgap_testkit/gateways/simulation.py
@@ -24,6 +24,7 @@
     Log,
     Probe,
     Refuse,
+    Relay,
     RequestTokens,
     Send,
     SendAdvertisedLimits,
@@ -44,6 +45,7 @@
     GatewayEvent,
     HeartbeatReceived,
     ProbeEnded,
+    RelayAnswered,
     SuspectsReceived,
     TargetAnnounced,
     TargetAnswered,
@@ -165,12 +167,16 @@
 
     :ivar open: requests without an answer, by number.
     :ivar attempts: attempts in flight, by request and attempt number.
+    :ivar origins: hosts that handed requests over to this one, by request.
+    :ivar relayed_answers: answers of other hosts to this host's requests, by request.
     """
 
     state: GatewayState
     alive: bool = True
     open: dict[int, CallArrived] = Factory(dict)
     attempts: dict[tuple[int, int], Send] = Factory(dict)
+    origins: dict[int, tuple[ModelHost, Relay]] = Factory(dict)
+    relayed_answers: dict[int, tuple[int, Refusal | None]] = Factory(dict)
 
 
 @define
@@ -309,7 +315,7 @@
         self.partitioned[name] = manner
         host = self.hosts[name]
         for send in list(host.attempts.values()):
-            if manner == "reset":
+            if manner == "reset" and isinstance(send, Send):
                 failure = (Failure.CONNECTION_LOST, Verdict.MAY_HAVE_RUN)
                 self._fail_attempt(host, send, *failure)
 
@@ -325,7 +331,7 @@
         target.waiting.clear()
         for host in self.hosts.values():
             for send in list(host.attempts.values()):
-                if send.target == name:
+                if isinstance(send, Send) and send.target == name:
                     failure = (Failure.CONNECTION_LOST, Verdict.MAY_HAVE_RUN)
                     self._deliver_result(host, send, AttemptFailed, *failure)
         self.clock.call_later(restart_after, lambda: self._restart_target(target))
@@ -363,14 +369,17 @@
 
     def _perform(self, host: ModelHost, effects) -> None:
         for effect in effects:
-            if isinstance(effect, Send):
+            if isinstance(effect, Relay):
+                self._relay(host, effect)
+            elif isinstance(effect, Send):
                 self._send(host, effect)
             elif isinstance(effect, Refuse):
                 self._record_outcome(
                     host, effect.call, effect.refusal.status, effect.refusal
                 )
             elif isinstance(effect, Deliver):
-                self._record_outcome(host, effect.call, 200, None)
+                status, refusal = host.relayed_answers.pop(effect.call, (200, None))
+                self._record_outcome(host, effect.call, status, refusal)
             elif isinstance(effect, StartExpiryTimer):
                 self.clock.call_later(
                     effect.delay,
@@ -410,7 +419,10 @@
         self, host: ModelHost, number: int, status: int, refusal: Refusal | None
     ) -> None:
         event = host.open.pop(number, None)
-        if event is not None:
+        origin = host.origins.pop(number, None)
+        if origin is not None:
+            self._answer_relay(*origin, status, refusal)
+        elif event is not None:
             route = self.configuration.find_route(HOST_NAME, event.path)
             self.outcomes.append(
                 RequestOutcome(
@@ -489,6 +501,44 @@
             lambda: self._feed(host, ProbeEnded, effect.target, healthy),
         )
 
+    def _relay(self, host: ModelHost, relay: Relay) -> None:
+        """Pass a request to another host, as a caller would."""
+        event = host.open[relay.call]
+        peer = self.hosts[relay.host]
+        host.attempts[relay.call, relay.attempt] = relay
+        if not peer.alive or {relay.host, host.state.location.host} & self.isolated:
+            failure = (Failure.NOT_CONNECTED, Verdict.NOT_RUN)
+            self.clock.call_later(
+                CONNECT_TIMEOUT_US, lambda: self._fail_attempt(host, relay, *failure)
+            )
+            return
+        self._last_number += 1
+        number = self._last_number
+        relayed = evolve(
+            event,
+            call=number,
+            caller_timeout=relay.time_left,
+            prior_attempts=relay.prior_attempts,
+        )
+        peer.origins[number] = (host, relay)
+
+        def arrive() -> None:
+            peer.open[number] = evolve(relayed, now=self.clock.now)
+            self._perform(peer, step(peer.state, peer.open[number]))
+
+        self.clock.call_later(ONE_WAY_DELAY_US, arrive)
+
+    def _answer_relay(
+        self, host: ModelHost, relay: Relay, status: int, refusal: Refusal | None
+    ) -> None:
+        def arrive() -> None:
+            if host.attempts.pop((relay.call, relay.attempt), None) is not None:
+                host.relayed_answers[relay.call] = (status, refusal)
+                fields = (relay.call, relay.attempt, status, refusal is None)
+                self._feed(host, RelayAnswered, *fields)
+
+        self.clock.call_later(ONE_WAY_DELAY_US, arrive)
+
     def _send(self, host: ModelHost, send: Send) -> None:
         host.attempts[send.call, send.attempt] = send
         target = self.targets[send.target]
--- a/tests/core/gateway/test_reachability.py
+++ b/tests/core/gateway/test_reachability.py
@@ -10,8 +10,27 @@
 from unittest import TestCase
 
 from almondgap_core.gateway.configuration import Account
+from almondgap_core.gateway.effects import Deliver, Refuse, Relay, Send
+from almondgap_core.gateway.events import (
+    AttemptFailed,
+    ConnectionChecked,
+    Failure,
+    HeartbeatReceived,
+    RelayAnswered,
+)
+from almondgap_core.gateway.fleet import list_caller_addresses
+from almondgap_core.gateway.heartbeats import Heartbeat
+from almondgap_core.gateway.reports import RequestRelayed
 from almondgap_core.units import millis, seconds
-from almondgap_testkit.gateways.builders import KEY, announce, build_configuration
+from almondgap_core.verdict import Verdict
+from almondgap_testkit.gateways.builders import (
+    KEY,
+    GatewayHarness,
+    announce,
+    build_configuration,
+    build_location,
+    build_route,
+)
 from almondgap_testkit.gateways.simulation import Simulation
 
 DOMAINS = ("a1", "a1", "a1", "a2", "a2", "b1", "b2", "b2")
@@ -70,3 +89,138 @@
                     self.assertLessEqual(
                         failed, MAX_FAILURES + count * MAX_FAILURE_SHARE
                     )
+
+    def test_hosts_send_to_their_targets_again_after_a_partition(self):
+        for manner in MANNERS:
+            sim = build_fleet()
+            partition(sim, ("h2", "h3"), manner)
+            sim.run(seconds(2))
+            for name in ("h2", "h3"):
+                state = sim.hosts[name].state
+                with self.subTest(manner=manner, host=name):
+                    self.assertIsNone(state.partitioned_since)
+                    down = [t for t in state.targets.values() if t.down_since]
+                    self.assertEqual(down, [])
+
+    def test_orders_run_once_and_not_run_is_true(self):
+        for seed in range(6):
+            sim = build_fleet(seed)
+            partition(sim, ("h0", "h1", "h4"), MANNERS[seed % 3])
+            sim.run(seconds(5))
+            for outcome in sim.outcomes:
+                runs = sim.count_runs(outcome.request_id)
+                if not outcome.idempotent:
+                    self.assertLessEqual(runs, 1)
+                if outcome.refusal and outcome.refusal.verdict is Verdict.NOT_RUN:
+                    self.assertEqual(runs, 0, outcome)
+
+    def test_peers_that_stop_or_crash_lose_no_order_twice(self):
+        for seed in range(6):
+            sim = build_fleet(seed)
+            sim.generate_load(["h1"], 60, seconds(20), path="/orders/1")
+            sim.run(seconds(1))
+            sim.partition_host("h1", MANNERS[seed % 3])
+            for number in (0, 2, 3, 4):
+                sim.run(seconds(3))
+                sim.kill_host(f"h{number}")
+                sim.run(seconds(1))
+                sim.add_host(f"h{number}", DOMAINS[number])
+            sim.run(seconds(6))
+            runs = [sim.count_runs(outcome.request_id) for outcome in sim.outcomes]
+            self.assertLessEqual(max(runs), 1)
+
+    def test_all_hosts_without_targets_refuse_at_once(self):
+        sim = build_fleet()
+        hosts = tuple(sim.hosts)
+        partition(sim, hosts, "refuse")
+        since = sim.clock.now - PARTITION_US + CONTACT_US
+        late = [
+            outcome
+            for outcome in sim.outcomes
+            if outcome.started_at > since and outcome.started_at < sim.clock.now
+        ]
+        self.assertLess(max(outcome.latency for outcome in late), seconds(1))
+
+    def test_crash_of_a_whole_failure_domain_is_no_partition(self):
+        sim = build_fleet()
+        sim.generate_load(list(sim.hosts), 100, seconds(12))
+        sim.run(seconds(3))
+        for number in (0, 4, 8, 12):
+            sim.targets[f"t{number}"].mode = "dead"
+        sim.run(seconds(10))
+        relayed = [r for _, _, r in sim.reports if isinstance(r, RequestRelayed)]
+        self.assertEqual(relayed, [])
+
+
+class RelayTests(TestCase):
+    def build(self, **changes) -> GatewayHarness:
+        """Return a host that reaches no target, with one peer in each region."""
+        targets = tuple(
+            announce(f"t{number}", failure_domain=failure_domain)
+            for number, failure_domain in enumerate(("a1", "a2", "b1"))
+        )
+        gateway = GatewayHarness.build(targets, **changes)
+        for host, failure_domain in (("h2", "a2"), ("h3", "b1")):
+            location = build_location(host, failure_domain)
+            gateway.feed(HeartbeatReceived, Heartbeat(location, 1, 1, True, 1))
+        for target in targets:
+            gateway.feed(ConnectionChecked, target.target, None)
+        return gateway
+
+    def test_request_goes_only_to_hosts_in_its_regions(self):
+        routes = (build_route(regions=frozenset({"b"})),)
+        gateway = self.build(configuration=build_configuration(routes=routes))
+        gateway.call()
+        [relay] = gateway.find(Relay)
+        self.assertEqual(relay.host, "h3")
+
+    def test_request_of_another_host_is_never_handed_on(self):
+        gateway = self.build()
+        gateway.call(prior_attempts=0)
+        self.assertEqual(gateway.find(Relay), [])
+
+    def test_attempts_before_the_hand_over_count(self):
+        gateway = GatewayHarness.build((announce("t1"), announce("t2")))
+        gateway.call(prior_attempts=1)
+        failure = (Failure.CONNECTION_LOST, Verdict.MAY_HAVE_RUN)
+        gateway.feed(AttemptFailed, 1, 1, *failure)
+        self.assertEqual(gateway.find(Send), [])
+        self.assertEqual(gateway.find(Refuse)[0].refusal.status, 502)
+
+    def test_order_that_was_lost_on_the_way_is_not_repeated(self):
+        gateway = self.build()
+        gateway.call("/orders/1")
+        [relay] = gateway.find(Relay)
+        failure = (Failure.CONNECTION_LOST, Verdict.MAY_HAVE_RUN)
+        gateway.feed(AttemptFailed, 1, relay.attempt, *failure)
+        self.assertEqual(gateway.find(Relay), [])
+        self.assertEqual(gateway.find(Refuse)[0].refusal.status, 502)
+
+    def test_order_that_reached_no_host_is_handed_to_another(self):
+        gateway = self.build()
+        gateway.call("/orders/1")
+        [first] = gateway.find(Relay)
+        failure = (Failure.NOT_CONNECTED, Verdict.NOT_RUN)
+        gateway.feed(AttemptFailed, 1, first.attempt, *failure)
+        [second] = gateway.find(Relay)
+        self.assertNotEqual(first.host, second.host)
+
+    def test_success_without_a_seal_is_not_passed_on(self):
+        gateway = self.build()
+        gateway.call()
+        [relay] = gateway.find(Relay)
+        gateway.feed(RelayAnswered, 1, relay.attempt, 200, False)
+        self.assertEqual(gateway.find(Deliver), [])
+        self.assertEqual(gateway.find(Refuse)[0].refusal.status, 502)
+
+    def test_only_the_host_that_serves_takes_a_token(self):
+        gateway = self.build()
+        bucket = gateway.state.token_buckets.get("one")
+        gateway.call()
+        self.assertTrue(gateway.find(Relay))
+        self.assertIs(gateway.state.token_buckets.get("one"), bucket)
+
+    def test_directory_names_no_host_without_targets_beside_others(self):
+        gateway = self.build()
+        addresses = list_caller_addresses(gateway.state, "a1", "a", gateway.now)
+        self.assertEqual(addresses, ["h2:80"])
--- a/tests/daemon/gateway/test_messages.py
+++ b/tests/daemon/gateway/test_messages.py
@@ -27,6 +27,7 @@
     def test_decoding_reverses_encoding(self):
         for message in (
             Heartbeat(build_location(), 5, 6, True, 7),
+            Heartbeat(build_location(), 5, 6, True, 7, False),
             TokenRequest("h1:90", "one", 4, 3.0),
             TokenResponse("one", 4, 0.0),
             StoreView("h1", 5, (6, 7), 8, 2),
