Refuse requests late in a planned stop that may outlast the process

Operators of a similar system saw requests that came late in the grace period passed on, and cut without an answer at its end. After half of the grace a host now takes only requests whose time limit is before its end; others are refused at once with 503, not run, and served by another host. Refusing all of them from the first moment was weighed: callers cache the directory's answer for seconds and would lose what the host can still finish.

--- a/packages/almondgap-core/almondgap_core/gateway/admission.py
+++ b/packages/almondgap-core/almondgap_core/gateway/admission.py
@@ -18,6 +18,9 @@
 #: Retry delay for callers of a host that has no current configuration yet.
 NOT_READY_RETRY_AFTER_US = millis(300)
 
+#: Retry delay for callers of a host that stops: other hosts serve them at once.
+STOPPING_RETRY_AFTER_US = millis(20)
+
 #: Maximum retry delay for callers above their rate limit.
 MAX_RETRY_AFTER_US = 5 * MICROS_PER_SECOND
 
@@ -45,11 +48,16 @@
         return _refuse(401, reason, "route requires the API key of a client account")
     if event.caller_timeout <= 0:
         return _refuse(503, Reason.DEADLINE_PASSED, "caller's deadline has passed")
+    expires_at = event.now + min(route.timeout, event.caller_timeout)
+    is_late = state.stopping and event.now > state.stop_accepts_until
+    if is_late and expires_at > state.stops_at:
+        detail = "host stops before this request must be answered"
+        return _refuse(503, Reason.STOPPING, detail, STOPPING_RETRY_AFTER_US)
     return Call(
         number=event.call,
         request_id=event.request_id,
         arrived_at=event.now,
-        expires_at=event.now + min(route.timeout, event.caller_timeout),
+        expires_at=expires_at,
         caller_deadline=event.now + event.caller_timeout,
         route=route,
         account=account,
--- a/packages/almondgap-core/almondgap_core/gateway/events.py
+++ b/packages/almondgap-core/almondgap_core/gateway/events.py
@@ -294,7 +294,12 @@
 
 @frozen
 class StopRequested(GatewayEvent):
-    """A planned stop of this host begins."""
+    """A planned stop of this host begins.
+
+    :ivar grace: time after which the process ends, whatever is in progress.
+    """
+
+    grace: int
 
 
 @frozen
--- a/packages/almondgap-core/almondgap_core/gateway/fleet.py
+++ b/packages/almondgap-core/almondgap_core/gateway/fleet.py
@@ -38,6 +38,10 @@
 REMOTE_SILENCE_TIMEOUT_US = millis(8_600)
 REMOTE_ADVERTISE_TIMEOUT_US = millis(4_600)
 
+#: Fraction of the grace period in which a stopping host accepts any request; then only
+#: those whose time limit is before its end.
+ACCEPT_ANY_FRACTION = 0.5
+
 #: Maximum number of addresses in an answer to a caller.
 MAX_ADVERTISED_HOSTS = 64
 
@@ -121,6 +125,8 @@
     if state.stopping:
         return
     state.stopping = True
+    state.stops_at = event.now + event.grace
+    state.stop_accepts_until = event.now + round(event.grace * ACCEPT_ANY_FRACTION)
     state.report(StopBegun(len(state.calls)))
     for peer in state.peers.values():
         peer.last_sent_at = None
--- a/packages/almondgap-core/almondgap_core/gateway/state.py
+++ b/packages/almondgap-core/almondgap_core/gateway/state.py
@@ -147,6 +147,9 @@
 
     :ivar regions: region of each failure domain.
     :ivar seed: state of the pseudo-random generator.
+    :ivar stops_at: when the process ends at the latest in a planned stop.
+    :ivar stop_accepts_until: until when requests are accepted that may not be answered
+        before the process ends.
     :ivar started_at: when the host started, in microseconds.
     :ivar early_arrivals: requests that arrived before the store was read, by number.
     :ivar behind_since: since when peers have had a newer configuration, None if not.
@@ -204,6 +207,8 @@
     bounds: Bounds = Factory(Bounds)
     seed: int = 1
     stopping: bool = False
+    stops_at: int = 0
+    stop_accepts_until: int = 0
     configuration: Configuration | None = None
     started_at: int = 0
     early_arrivals: dict[int, CallArrived] = Factory(dict)
--- a/packages/almondgap-daemon/almondgap_daemon/gateway/process.py
+++ b/packages/almondgap-daemon/almondgap_daemon/gateway/process.py
@@ -197,7 +197,8 @@
             return
         self.stopping_since = self.reactor.seconds()
         self.callers.closing = True
-        self.runtime.feed(StopRequested(self.runtime.now()))
+        grace = round((self.cfg.grace - KILL_MARGIN_S) * MICROS_PER_SECOND)
+        self.runtime.feed(StopRequested(self.runtime.now(), grace))
         self._unregister()
 
     def reload(self) -> None:
--- a/tests/core/gateway/test_fleet.py
+++ b/tests/core/gateway/test_fleet.py
@@ -66,7 +66,7 @@
         self.assertEqual(
             list_caller_addresses(harness.state, "a1", "a", harness.now), ["h1:80"]
         )
-        harness.feed(StopRequested)
+        harness.feed(StopRequested, seconds(6))
         self.assertEqual(
             list_caller_addresses(harness.state, "a1", "a", harness.now), []
         )
@@ -76,7 +76,7 @@
     def test_stop_is_announced_at_once(self):
         harness = GatewayHarness.build()
         harness.feed(HeartbeatReceived, heartbeat("h2"))
-        harness.feed(StopRequested)
+        harness.feed(StopRequested, seconds(6))
         (sent,) = harness.find(SendHeartbeat)
         self.assertFalse(sent.heartbeat.ready)
         self.assertEqual(sent.addresses, ("h2:90",))
--- /dev/null
+++ b/tests/core/gateway/test_planned_stop.py
@@ -0,0 +1,53 @@
+"""Requests that come late in a planned stop.
+
+Load pattern: callers that keep open connections in use until the process is gone.
+"""
+
+from __future__ import annotations
+
+from unittest import TestCase
+
+from almondgap_core.gateway.effects import Refuse, Send
+from almondgap_core.gateway.events import StopRequested
+from almondgap_core.units import seconds
+from almondgap_core.verdict import Reason, Verdict
+from almondgap_testkit.gateways.builders import (
+    GatewayHarness,
+    announce,
+    build_configuration,
+    build_route,
+)
+
+GRACE_US = seconds(6)
+
+
+class LateRequestTests(TestCase):
+    def build(self) -> GatewayHarness:
+        """Return a stopping host with a route whose requests may take 4 s."""
+        route = build_route(name="orders", prefix="/orders/", timeout=seconds(4))
+        cfg = build_configuration(routes=(route,))
+        gateway = GatewayHarness.build((announce("t1"),), cfg)
+        gateway.feed(StopRequested, GRACE_US)
+        return gateway
+
+    def test_request_that_may_outlast_the_stop_is_refused_unsent(self):
+        gateway = self.build()
+        gateway.now += seconds(3.5)
+        gateway.call("/orders/1")
+        self.assertEqual(gateway.find(Send), [])
+        [refuse] = gateway.find(Refuse)
+        self.assertEqual(refuse.refusal.status, 503)
+        self.assertIs(refuse.refusal.reason, Reason.STOPPING)
+        self.assertIs(refuse.refusal.verdict, Verdict.NOT_RUN)
+
+    def test_request_that_ends_before_the_stop_is_served(self):
+        gateway = self.build()
+        gateway.now += seconds(3.5)
+        gateway.call("/orders/1", caller_timeout=seconds(2))
+        self.assertTrue(gateway.find(Send))
+
+    def test_request_early_in_the_stop_is_served(self):
+        gateway = self.build()
+        gateway.now += seconds(2.5)
+        gateway.call("/orders/1")
+        self.assertTrue(gateway.find(Send))
