Refuse late requests in a planned stop by how long they may take, not by their limit

A host now compares four times the route's measured service time, or the time limit if that is less; a route that it has not measured is served.

--- a/packages/almondgap-core/almondgap_core/gateway/admission.py
+++ b/packages/almondgap-core/almondgap_core/gateway/admission.py
@@ -21,6 +21,9 @@
 #: Retry delay for callers of a host that stops: other hosts serve them at once.
 STOPPING_RETRY_AFTER_US = millis(20)
 
+#: Latency that few requests exceed, relative to the route's service time.
+MAX_LATENCY_FACTOR = 4.0
+
 #: Maximum retry delay for callers above their rate limit.
 MAX_RETRY_AFTER_US = 5 * MICROS_PER_SECOND
 
@@ -49,9 +52,8 @@
     if event.caller_timeout <= 0:
         return _refuse(503, Reason.DEADLINE_PASSED, "caller's deadline has passed")
     expires_at = event.now + min(route.timeout, event.caller_timeout)
-    is_late = state.stopping and event.now > state.stop_accepts_until
-    if is_late and expires_at > state.stops_at:
-        detail = "host stops before this request must be answered"
+    if _may_outlast_stop(state, route, event.now, expires_at):
+        detail = "host stops before this request would be answered"
         return _refuse(503, Reason.STOPPING, detail, STOPPING_RETRY_AFTER_US)
     return Call(
         number=event.call,
@@ -69,6 +71,22 @@
     )
 
 
+def _may_outlast_stop(
+    state: GatewayState, route: Route, now: int, expires_at: int
+) -> bool:
+    """Return whether a request that arrives in a planned stop could be cut by its end.
+
+    :param expires_at: when the request is answered at the latest.
+    """
+    if not state.stopping or now <= state.stop_accepts_until:
+        return False
+    service_time = state.service_times.get(route.name)
+    if service_time is None or not service_time.updated_at:
+        return False
+    slowest = now + service_time.read(now) * MAX_LATENCY_FACTOR
+    return min(expires_at, slowest) > state.stops_at
+
+
 def compute_fingerprint(account: Account | None, content: str) -> str:
     """Return the fingerprint of an account's request, empty if there is none.
 
--- a/packages/almondgap-core/almondgap_core/gateway/fleet.py
+++ b/packages/almondgap-core/almondgap_core/gateway/fleet.py
@@ -39,7 +39,7 @@
 REMOTE_ADVERTISE_TIMEOUT_US = millis(4_600)
 
 #: Fraction of the grace period in which a stopping host accepts any request; then only
-#: those whose time limit is before its end.
+#: those that are answered before its end.
 ACCEPT_ANY_FRACTION = 0.5
 
 #: Maximum number of addresses in an answer to a caller.
--- a/tests/daemon/http/test_connection.py
+++ b/tests/daemon/http/test_connection.py
@@ -223,3 +223,62 @@
         sent.transport.end(clean=False)
         self.assertIsNone(sent.outcome)
         self.assertEqual(sent.transport.ended, "aborted")
+
+
+class SecondCopyTests(TestCase):
+    """A server that writes an earlier refusal once more on a kept connection."""
+
+    REFUSAL = b"HTTP/1.1 503 Busy\r\nId: %b\r\nContent-Length: 2\r\n\r\nno"
+    UNNAMED = b"HTTP/1.1 503 Busy\r\nContent-Length: 2\r\n\r\nno"
+    RUN = b"HTTP/1.1 200 OK\r\nId: 2\r\nContent-Length: 3\r\n\r\nran"
+
+    def start(self) -> SentRequest:
+        """Return a kept connection on which request 1 was refused and 2 was sent."""
+        sent = SentRequest(matches=lambda headers: self.names(headers, b"1"))
+        sent.transport.receive(self.REFUSAL % b"1")
+        self.assertEqual(sent.outcome.status, 503)
+        sent.send(matches=lambda headers: self.names(headers, b"2"))
+        return sent
+
+    def names(self, headers, request_id: bytes) -> bool | None:
+        """Return whether a response names a request, None if it names none."""
+        named = find_header(headers, b"id")
+        return None if named is None else named == request_id
+
+    def test_second_copy_of_a_refusal_answers_no_later_request(self):
+        for copy in (self.REFUSAL % b"1", self.UNNAMED):
+            for size in (1, len(copy), len(copy) + 5):
+                sent = self.start()
+                data = copy + self.RUN
+                for start in range(0, len(data), size):
+                    sent.transport.receive(data[start : start + size])
+                self.assertEqual(
+                    (sent.outcome.status, sent.outcome.body), (200, b"ran")
+                )
+
+    def test_second_copy_before_the_end_of_a_connection_proves_nothing(self):
+        for copy in (self.REFUSAL % b"1", self.UNNAMED):
+            sent = self.start()
+            sent.transport.receive(copy)
+            sent.transport.end()
+            self.assertIsInstance(sent.outcome, IncompleteResponse)
+
+
+class TruncatedHeadTests(TestCase):
+    def test_response_that_ends_in_its_head_is_incomplete(self):
+        heads = (
+            COMPLETE.partition(b"hello")[0],
+            b"HTTP/1.1 200 OK\r\nId: 1\r\n\r\n",
+            b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nId: 1\r\n\r\n",
+        )
+        for head in heads:
+            for length in range(len(head)):
+                for clean in (True, False):
+                    sent = SentRequest(matches=matches)
+                    if length:
+                        sent.transport.receive(head[:length])
+                    sent.transport.end(clean)
+                    with self.subTest(head=head[:length], clean=clean):
+                        self.assertIsInstance(
+                            sent.outcome, IncompleteResponse | InvalidResponse
+                        )
