Test the hand-over of requests with real processes

Two hosts, each with a store of its own that names other addresses of the same targets: the first reaches none.

--- a/packages/almondgap-testkit/almondgap_testkit/gateways/site.py
+++ b/packages/almondgap-testkit/almondgap_testkit/gateways/site.py
@@ -138,6 +138,17 @@
         """Return an address of a host, whose name is ``h`` and a number."""
         return f"{self.net}.1.{int(host[1:])}:{port}"
 
+    def start_second_store(self, port: int) -> str:
+        """Start another store with the same configuration; return its address."""
+        address = f"{self.net}.0.1:{port}"
+        name = f"store at {port}"
+        self._run(name, "almondgap_testkit.standins.store", "--port", port)
+        self.wait_for_port(name, address)
+        self.write(
+            {"table": "op", "key": "config", "value": CONFIGURATION}, store=address
+        )
+        return address
+
     def start_host(self, host: str, failure_domain: str = "a1", **changes) -> None:
         """Start a gateway and wait until it is ready."""
         self.launch_host(host, failure_domain, **changes)
@@ -231,9 +242,12 @@
         except urllib.error.HTTPError as exc:
             return Reply(exc.code, dict(exc.headers), exc.read())
 
-    def write(self, *rows: dict[str, Any]) -> None:
-        """Write rows into the store as an operator."""
-        self.post(f"http://{self.store}/control/rows", list(rows))
+    def write(self, *rows: dict[str, Any], store: str = "") -> None:
+        """Write rows into a store as an operator.
+
+        :param store: address, empty for the store of the site.
+        """
+        self.post(f"http://{store or self.store}/control/rows", list(rows))
 
     def set_mode(self, worker: int, mode: str) -> None:
         """Set the behaviour of a target."""
