Regard a host as partitioned only after a check of a target that seemed well

Only a check that fails, with no other under way, can now begin a partition, and checks go to targets that are not known to be down if there are any.

--- a/packages/almondgap-core/almondgap_core/gateway/reachability.py
+++ b/packages/almondgap-core/almondgap_core/gateway/reachability.py
@@ -45,16 +45,9 @@
 
 def record_unreached(state: GatewayState, target: Target, now: int) -> None:
     """Note that no connection to a target could be established."""
-    unreached = state.unreached
-    for name, at in list(unreached.items()):
-        if now - at > UNREACHED_TTL_US or name not in state.targets:
-            del unreached[name]
-    unreached[target.name] = now
+    state.unreached[target.name] = now
     if state.partitioned_since is not None:
         state.reached.clear()
-        return
-    if _is_partitioned(state):
-        _begin_partition(state, now)
     else:
         _check_others(state, MAX_CHECKS)
 
@@ -66,7 +59,14 @@
         _record_reached(state, event.target, event.now)
         return
     target = state.targets.get(event.target)
-    if target is not None:
+    if target is None:
+        return
+    # Several targets may fail at once, so a check must have failed as well.
+    state.unreached[target.name] = event.now
+    is_begin = state.partitioned_since is None and not state.checking
+    if is_begin and _is_partitioned(state, event.now):
+        _begin_partition(state, event.now)
+    else:
         record_unreached(state, target, event.now)
 
 
@@ -105,8 +105,11 @@
         _end_partition(state, now)
 
 
-def _is_partitioned(state: GatewayState) -> bool:
+def _is_partitioned(state: GatewayState, now: int) -> bool:
     """Return whether enough targets in enough failure domains cannot be reached."""
+    for name, at in list(state.unreached.items()):
+        if now - at > UNREACHED_TTL_US or name not in state.targets:
+            del state.unreached[name]
     domains = {target.announcement.failure_domain for target in state.targets.values()}
     unreached = {
         state.targets[name].announcement.failure_domain for name in state.unreached
@@ -155,13 +158,15 @@
         for name in (*state.unreached, *state.checking)
         if name in state.targets
     }
-    candidates = [
+    known = [
         target
         for target in state.targets.values()
-        if target.name not in state.checking
-        and (target.name not in state.unreached or state.partitioned_since is not None)
-        and not target.announcement.draining
+        if target.name not in state.checking and not target.announcement.draining
     ]
+    candidates = known
+    if state.partitioned_since is None:
+        # A target that is down already proves nothing, unless there are no others.
+        candidates = [each for each in known if _seems_reachable(state, each)] or known
     start = state.draw_random(max(1, len(candidates)))
     candidates = candidates[start:] + candidates[:start]
     candidates.sort(key=lambda target: target.announcement.failure_domain in tried)
@@ -170,6 +175,10 @@
         state.perform(CheckConnection(target.name, target.announcement.address))
 
 
+def _seems_reachable(state: GatewayState, target: Target) -> bool:
+    return target.name not in state.unreached and target.down_since is None
+
+
 EVENT_HANDLERS: dict[type[GatewayEvent], object] = {
     ConnectionChecked: handle_connection_checked,
     ProbeEnded: handle_probe_ended,
--- a/tests/core/gateway/test_reachability.py
+++ b/tests/core/gateway/test_reachability.py
@@ -151,6 +151,17 @@
         relayed = [r for _, _, r in sim.reports if isinstance(r, RequestRelayed)]
         self.assertEqual(relayed, [])
 
+    def test_several_targets_that_crash_at_once_are_no_partition(self):
+        for seed in range(5):
+            sim = build_fleet(seed)
+            sim.generate_load(list(sim.hosts), 200, seconds(12))
+            sim.run(seconds(3))
+            for number in (0, 1, 2, 3, 5):
+                sim.crash_target(f"t{number}")
+            sim.run(seconds(10))
+            relayed = [r for _, _, r in sim.reports if isinstance(r, RequestRelayed)]
+            self.assertEqual(relayed, [])
+
 
 class RelayTests(TestCase):
     def build(self, **changes) -> GatewayHarness:
