Begin a partition only after all checks of a batch failed, also while old answers come

Checks now go in batches; when one has failed as a whole, a host is partitioned if no target has answered for 750 ms, or if six checks in a row failed: while established connections live on and only new ones are refused, answers prove nothing.

--- a/packages/almondgap-core/almondgap_core/gateway/events.py
+++ b/packages/almondgap-core/almondgap_core/gateway/events.py
@@ -143,10 +143,12 @@
 
     :ivar accepted: whether it accepted the connection or refused it, None if it did
         neither in time.
+    :ivar performed: whether this host had a socket left for it.
     """
 
     target: str
     accepted: bool | None
+    performed: bool = True
 
 
 @frozen
--- a/packages/almondgap-core/almondgap_core/gateway/reachability.py
+++ b/packages/almondgap-core/almondgap_core/gateway/reachability.py
@@ -29,6 +29,9 @@
 MIN_UNREACHED_TARGETS = 3
 MIN_UNREACHED_DOMAINS = 2
 
+#: Checks in a row that must fail if targets still answer on established connections.
+MIN_FAILED_CHECKS = 6
+
 #: Time for which a failed connection counts.
 UNREACHED_TTL_US = seconds(3)
 
@@ -46,28 +49,31 @@
 def record_unreached(state: GatewayState, target: Target, now: int) -> None:
     """Note that no connection to a target could be established."""
     state.unreached[target.name] = now
-    if state.partitioned_since is not None:
-        state.reached.clear()
-    else:
+    if state.partitioned_since is None and not state.checking:
         _check_others(state, MAX_CHECKS)
 
 
 def handle_connection_checked(state: GatewayState, event: ConnectionChecked) -> None:
     """Take note of whether a target can be reached."""
     state.checking.discard(event.target)
+    if not event.performed:
+        return
     if event.accepted:
         _record_reached(state, event.target, event.now)
         return
     target = state.targets.get(event.target)
     if target is None:
         return
-    # Several targets may fail at once, so a check must have failed as well.
     state.unreached[target.name] = event.now
-    is_begin = state.partitioned_since is None and not state.checking
-    if is_begin and _is_partitioned(state, event.now):
-        _begin_partition(state, event.now)
-    else:
-        record_unreached(state, target, event.now)
+    state.failed_checks += 1
+    if state.partitioned_since is not None:
+        state.reached.clear()
+    elif not state.checking:
+        # Several targets may fail at once, so all checks must have failed as well.
+        if _is_partitioned(state, event.now):
+            _begin_partition(state, event.now)
+        else:
+            _check_others(state, MAX_CHECKS)
 
 
 def handle_target_answered(state: GatewayState, event: TargetAnswered) -> None:
@@ -83,6 +89,8 @@
 
 def handle_tick(state: GatewayState, event: Ticked) -> None:
     """Try to connect to targets when none answers, or to see a partition end."""
+    if state.checking:
+        return
     if state.partitioned_since is not None:
         _check_others(state, MIN_REACHED_TARGETS)
         return
@@ -97,6 +105,7 @@
 
 def _record_reached(state: GatewayState, target: str, now: int) -> None:
     state.last_contact_at = now
+    state.failed_checks = 0
     if state.partitioned_since is None:
         state.unreached.clear()
         return
@@ -114,9 +123,12 @@
     unreached = {
         state.targets[name].announcement.failure_domain for name in state.unreached
     }
-    return len(state.unreached) >= min(
-        MIN_UNREACHED_TARGETS, len(state.targets)
-    ) and len(unreached) >= min(MIN_UNREACHED_DOMAINS, len(domains))
+    if len(state.unreached) < min(MIN_UNREACHED_TARGETS, len(state.targets)):
+        return False
+    if len(unreached) < min(MIN_UNREACHED_DOMAINS, len(domains)):
+        return False
+    is_silent = now - state.last_contact_at >= SILENCE_US
+    return is_silent or state.failed_checks >= MIN_FAILED_CHECKS
 
 
 def _begin_partition(state: GatewayState, now: int) -> None:
@@ -150,9 +162,6 @@
 
 def _check_others(state: GatewayState, count: int) -> None:
     """Try to connect to targets, first in failure domains where none was tried."""
-    count -= len(state.checking)
-    if count <= 0:
-        return
     tried = {
         state.targets[name].announcement.failure_domain
         for name in (*state.unreached, *state.checking)
--- a/packages/almondgap-core/almondgap_core/gateway/state.py
+++ b/packages/almondgap-core/almondgap_core/gateway/state.py
@@ -196,6 +196,7 @@
     :ivar unreached: targets to which no connection could be established, with the time.
     :ivar reached: targets that accepted a connection during the partition.
     :ivar checking: targets to which a connection is being tried.
+    :ivar failed_checks: number of such tries in a row that failed.
     :ivar backend_credit: credit of each service in the weighted round robin of a route.
     :ivar last_event_at: time of the latest event, in microseconds.
     :ivar effects: effects of the current step.
@@ -252,6 +253,7 @@
     unreached: dict[str, int] = Factory(dict)
     reached: set[str] = Factory(set)
     checking: set[str] = Factory(set)
+    failed_checks: int = 0
     backend_credit: dict[str, dict[str, float]] = Factory(dict)
     last_event_at: int = 0
     effects: list[GatewayEffect] = Factory(list)
--- a/packages/almondgap-daemon/almondgap_daemon/gateway/target_client.py
+++ b/packages/almondgap-daemon/almondgap_daemon/gateway/target_client.py
@@ -196,9 +196,11 @@
     @inlineCallbacks
     def check_connection(self, check: CheckConnection):
         """Connect to a target, close the connection and feed the result as an event."""
-        accepted = None
+        accepted, performed = None, True
         try:
             conn = yield self.pool.connect(check.address)
+        except NoSocket:
+            performed = False
         except ConnectionRefused:
             accepted = False
         except NotConnected:
@@ -206,7 +208,7 @@
         else:
             accepted = True
             conn.close()
-        self.feed(ConnectionChecked(self.now(), check.target, accepted))
+        self.feed(ConnectionChecked(self.now(), check.target, accepted, performed))
 
     def _report_failure(
         self, send: Send | Relay, failure: Failure, verdict: Verdict
--- a/tests/core/gateway/test_reachability.py
+++ b/tests/core/gateway/test_reachability.py
@@ -224,6 +224,13 @@
         self.assertEqual(gateway.find(Deliver), [])
         self.assertEqual(gateway.find(Refuse)[0].refusal.status, 502)
 
+    def test_host_without_sockets_is_not_partitioned(self):
+        targets = tuple(announce(f"t{number}") for number in range(3))
+        gateway = GatewayHarness.build(targets)
+        for target in targets:
+            gateway.feed(ConnectionChecked, target.target, None, performed=False)
+        self.assertIsNone(gateway.state.partitioned_since)
+
     def test_only_the_host_that_serves_takes_a_token(self):
         gateway = self.build()
         bucket = gateway.state.token_buckets.get("one")
