Hand a request to the next host when the first one cannot serve it

Where most or all hosts of a failure domain lose their targets at once, the nearest peer of a partitioned host may have lost them as well and not know it yet, may have been told to stop, or may have no current configuration. Its refusal was passed on to the caller, and until it knew, it spent up to half a second on each target (tests: a request was handed over once only; a partitioned host sent what another handed over to a target that it could not reach). A host's own answers now say why in Almondgap-Reason. What was refused as not run by a host without targets, without a configuration or in a planned stop goes to the next one, three at most. A partitioned host refuses at once what another handed over, and what it can hand to nobody if targets are silent. Peers of the same failure domain come after others of the region.

--- a/packages/almondgap-core/almondgap_core/gateway/calls.py
+++ b/packages/almondgap-core/almondgap_core/gateway/calls.py
@@ -121,11 +121,15 @@
     if refusal is not None:
         send_refusal(state, call, now, refusal)
         return
-    if needs_relay(state, call):
-        peer = choose_relay(state, call, now)
+    if state.partitioned_since is not None:
+        peer = choose_relay(state, call, now) if needs_relay(state, call) else None
         if peer is not None:
             relay_call(state, call, peer, now)
             return
+        if call.is_relayed or state.targets_silent:
+            detail = "this host reaches no target, nor another host that does"
+            refuse_call(state, call, now, 503, Reason.NO_TARGET, detail)
+            return
     choice = choose_target(state, call, now)
     if choice is None:
         refuse_unplaced(state, call, now)
--- a/packages/almondgap-core/almondgap_core/gateway/events.py
+++ b/packages/almondgap-core/almondgap_core/gateway/events.py
@@ -10,7 +10,7 @@
 from almondgap_core.gateway.heartbeats import AdvertisedLimits, Heartbeat, StoreView
 from almondgap_core.gateway.suspects import Suspects
 from almondgap_core.gateway.target import Announcement
-from almondgap_core.verdict import Verdict
+from almondgap_core.verdict import Reason, Verdict
 
 
 @frozen
@@ -35,6 +35,8 @@
     :ivar caller_timeout: how long the caller will wait.
     :ivar content: digest of everything that a target sees of the request and that
         is the same when it is repeated, empty if unknown.
+    :ivar prior_attempts: number of targets to which another host sent the request
+        before it handed it over, None if it comes from a caller.
     """
 
     call: int
@@ -91,12 +93,14 @@
     """Another host's answer to a request that was handed over was read completely.
 
     :ivar sealed: whether the answer carries the seal that only targets set.
+    :ivar reason: why that host refused the request, None if it does not say.
     """
 
     call: int
     attempt: int
     status: int
     sealed: bool
+    reason: Reason | None = None
 
 
 class Failure(Enum):
--- a/packages/almondgap-core/almondgap_core/gateway/reachability.py
+++ b/packages/almondgap-core/almondgap_core/gateway/reachability.py
@@ -65,6 +65,7 @@
     if target is None:
         return
     state.unreached[target.name] = event.now
+    state.targets_silent = event.accepted is None
     state.failed_checks += 1
     if state.partitioned_since is not None:
         state.reached.clear()
--- a/packages/almondgap-core/almondgap_core/gateway/relayed_calls.py
+++ b/packages/almondgap-core/almondgap_core/gateway/relayed_calls.py
@@ -30,6 +30,9 @@
 #: Time without further requests to a host that could not be reached.
 RELAY_BACKOFF_US = seconds(2)
 
+#: Reasons for which a host refuses a request that others may serve.
+UNABLE_REASONS = frozenset({Reason.NOT_READY, Reason.NO_TARGET, Reason.STOPPING})
+
 
 def handle_relay_answered(state: GatewayState, event: RelayAnswered) -> None:
     """Forward the answer of the host to which a request was handed over."""
@@ -40,6 +43,13 @@
     peer = call.relay_host
     end_relay(state, call)
     call.attempt = 0
+    is_unable = event.status == 503 and event.reason in UNABLE_REASONS
+    if is_unable and choose_relay(state, call, now) is not None:
+        failure = f"host {peer}: {event.reason.value}"
+        verdict = Verdict.NOT_RUN
+        report_attempt_lost(state, call, event.attempt, failure, verdict, now)
+        place_call(state, call, now)
+        return
     is_success = event.status < 300
     if is_success and not event.sealed:
         call.may_have_run = True
--- a/packages/almondgap-core/almondgap_core/gateway/relays.py
+++ b/packages/almondgap-core/almondgap_core/gateway/relays.py
@@ -1,9 +1,10 @@
 """Requests that this host hands to another one, since it reaches no target itself.
 
-A request is handed over once at most: the other host serves it or refuses it. That host
-authenticates the caller, takes the client account's token and chooses the target, so
-that each of these happens in one place; it answers with what this host passes on. A
-request that may run only once is handed over only if it was sent nowhere before.
+The other host serves it or refuses it, and never hands it on. It authenticates the
+caller, takes the client account's token and chooses the target, so that each of these
+happens in one place; it answers with what this host passes on. A request that may run
+only once is handed over only if it was sent nowhere before, and to a second host only
+if the first did not send it either.
 """
 
 from __future__ import annotations
@@ -12,7 +13,6 @@
 from almondgap_core.gateway.fleet import list_live_peers
 from almondgap_core.gateway.placement import (
     OTHER_REGION_RTT_US,
-    SAME_DOMAIN_RTT_US,
     SAME_REGION_RTT_US,
     list_regions,
 )
@@ -21,7 +21,7 @@
 from almondgap_core.units import MICROS_PER_MILLI, millis
 
 #: Maximum number of hosts to which one request is handed over in turn.
-MAX_RELAYS = 2
+MAX_RELAYS = 3
 
 #: Cost of a request that a host has got from this one, so that they spread.
 COST_PER_RELAY_US = millis(10)
@@ -84,10 +84,11 @@
 
 def _rate_peer(state: GatewayState, peer: Peer) -> int:
     location = peer.location
-    if location.failure_domain == state.location.failure_domain:
-        rtt = SAME_DOMAIN_RTT_US
-    elif location.region == state.location.region:
-        rtt = SAME_REGION_RTT_US
+    if location.region == state.location.region:
+        cost = SAME_REGION_RTT_US
     else:
-        rtt = OTHER_REGION_RTT_US
-    return rtt + peer.relayed * COST_PER_RELAY_US + state.draw_random(millis(1))
+        cost = OTHER_REGION_RTT_US
+    if location.failure_domain == state.location.failure_domain:
+        # It may have lost its targets as well and not know it yet.
+        cost += COST_PER_RELAY_US
+    return cost + peer.relayed * COST_PER_RELAY_US + state.draw_random(millis(1))
--- a/packages/almondgap-core/almondgap_core/gateway/state.py
+++ b/packages/almondgap-core/almondgap_core/gateway/state.py
@@ -195,6 +195,8 @@
     :ivar partitioned_since: since when this host reaches no target, None if it does.
     :ivar unreached: targets to which no connection could be established, with the time.
     :ivar reached: targets that accepted a connection during the partition.
+    :ivar targets_silent: whether the latest try to connect to one got no answer, so
+        that each costs the time-out.
     :ivar checking: targets to which a connection is being tried.
     :ivar failed_checks: number of such tries in a row that failed.
     :ivar backend_credit: credit of each service in the weighted round robin of a route.
@@ -252,6 +254,7 @@
     partitioned_since: int | None = None
     unreached: dict[str, int] = Factory(dict)
     reached: set[str] = Factory(set)
+    targets_silent: bool = False
     checking: set[str] = Factory(set)
     failed_checks: int = 0
     backend_credit: dict[str, dict[str, float]] = Factory(dict)
--- a/packages/almondgap-daemon/almondgap_daemon/gateway/runtime.py
+++ b/packages/almondgap-daemon/almondgap_daemon/gateway/runtime.py
@@ -63,6 +63,7 @@
 from almondgap_daemon.http.response import Response
 from almondgap_daemon.http.server import Exchange
 from almondgap_daemon.platform.headers import (
+    REASON,
     make_response_headers,
     parse_caller_headers,
 )
@@ -270,6 +271,7 @@
         headers = [
             (b"Content-Type", b"application/json"),
             (b"Content-Length", str(len(body)).encode()),
+            (REASON, effect.refusal.reason.value.encode()),
         ]
         retry_after = effect.refusal.retry_after
         if retry_after is not None:
--- a/packages/almondgap-daemon/almondgap_daemon/gateway/target_client.py
+++ b/packages/almondgap-daemon/almondgap_daemon/gateway/target_client.py
@@ -125,7 +125,8 @@
         if response is not None:
             on_response(response)
             sealed = response.get(names.SEAL) is not None
-            fields = (relay.call, relay.attempt, response.status, sealed)
+            reason = names.parse_reason(response.headers)
+            fields = (relay.call, relay.attempt, response.status, sealed, reason)
             self.feed(RelayAnswered(self.now(), *fields))
 
     @inlineCallbacks
--- a/packages/almondgap-daemon/almondgap_daemon/platform/headers.py
+++ b/packages/almondgap-daemon/almondgap_daemon/platform/headers.py
@@ -7,6 +7,7 @@
 
 from attrs import frozen
 
+from almondgap_core.verdict import Reason
 from almondgap_daemon.http.response import (
     RawHeaders,
     find_header,
@@ -23,6 +24,9 @@
 #: was sent before.
 RELAYED = b"almondgap-relayed"
 
+#: Set on a host's own answers, with the reason why it refused a request.
+REASON = b"almondgap-reason"
+
 SEAL = b"x-almondgap-response-seal"
 NOT_EXECUTED = b"x-almondgap-not-executed"
 LOAD = b"x-almondgap-server-load"
@@ -42,6 +46,8 @@
 
 MICROS_PER_MILLI = 1_000
 
+_REASONS = frozenset(reason.value for reason in Reason)
+
 #: Maximum number of digits of a count of attempts.
 MAX_COUNT_DIGITS = 3
 
@@ -193,6 +199,12 @@
     )
 
 
+def parse_reason(headers: RawHeaders) -> Reason | None:
+    """Return why a host refused a request, None if it does not say."""
+    value = _decode_value(find_header(headers, REASON))
+    return Reason(value) if value in _REASONS else None
+
+
 def _parse_prior_attempts(value: bytes | None) -> int | None:
     """Return the number of earlier attempts, 0 if it is malformed."""
     if value is None:
--- a/packages/almondgap-testkit/almondgap_testkit/gateways/simulation.py
+++ b/packages/almondgap-testkit/almondgap_testkit/gateways/simulation.py
@@ -534,7 +534,8 @@
         def arrive() -> None:
             if host.attempts.pop((relay.call, relay.attempt), None) is not None:
                 host.relayed_answers[relay.call] = (status, refusal)
-                fields = (relay.call, relay.attempt, status, refusal is None)
+                reason = refusal.reason if refusal else None
+                fields = (relay.call, relay.attempt, status, refusal is None, reason)
                 self._feed(host, RelayAnswered, *fields)
 
         self.clock.call_later(ONE_WAY_DELAY_US, arrive)
--- a/tests/core/gateway/test_reachability.py
+++ b/tests/core/gateway/test_reachability.py
@@ -22,7 +22,7 @@
 from almondgap_core.gateway.heartbeats import Heartbeat
 from almondgap_core.gateway.reports import RequestRelayed
 from almondgap_core.units import millis, seconds
-from almondgap_core.verdict import Verdict
+from almondgap_core.verdict import Reason, Verdict
 from almondgap_testkit.gateways.builders import (
     KEY,
     GatewayHarness,
@@ -164,14 +164,16 @@
 
 
 class RelayTests(TestCase):
-    def build(self, **changes) -> GatewayHarness:
-        """Return a host that reaches no target, with one peer in each region."""
+    def build(
+        self, peers: tuple = (("h2", "a2"), ("h3", "b1")), **changes
+    ) -> GatewayHarness:
+        """Return a host that reaches no target, by default with a peer per region."""
         targets = tuple(
             announce(f"t{number}", failure_domain=failure_domain)
             for number, failure_domain in enumerate(("a1", "a2", "b1"))
         )
         gateway = GatewayHarness.build(targets, **changes)
-        for host, failure_domain in (("h2", "a2"), ("h3", "b1")):
+        for host, failure_domain in peers:
             location = build_location(host, failure_domain)
             gateway.feed(HeartbeatReceived, Heartbeat(location, 1, 1, True, 1))
         for target in targets:
@@ -216,6 +218,46 @@
         [second] = gateway.find(Relay)
         self.assertNotEqual(first.host, second.host)
 
+    def test_request_refused_by_a_host_without_targets_goes_to_another(self):
+        for reason in (Reason.NO_TARGET, Reason.NOT_READY, Reason.STOPPING):
+            gateway = self.build()
+            gateway.call("/orders/1")
+            [first] = gateway.find(Relay)
+            answer = (1, first.attempt, 503, False, reason)
+            gateway.feed(RelayAnswered, *answer)
+            [second] = gateway.find(Relay)
+            self.assertNotEqual(first.host, second.host)
+            gateway.feed(RelayAnswered, 1, second.attempt, 503, False, reason)
+            self.assertEqual(len(gateway.find(Deliver)), 1)
+
+    def test_other_refusals_of_a_host_are_passed_on(self):
+        for status, reason in ((429, Reason.OVER_RATE), (503, Reason.NO_CAPACITY)):
+            gateway = self.build()
+            gateway.call()
+            [relay] = gateway.find(Relay)
+            gateway.feed(RelayAnswered, 1, relay.attempt, status, False, reason)
+            self.assertEqual(gateway.find(Relay), [])
+            self.assertEqual(len(gateway.find(Deliver)), 1)
+
+    def test_host_without_targets_refuses_what_another_handed_over(self):
+        gateway = self.build()
+        gateway.call(prior_attempts=0)
+        self.assertEqual(gateway.find(Send), [])
+        [refuse] = gateway.find(Refuse)
+        self.assertEqual(refuse.refusal.reason, Reason.NO_TARGET)
+        self.assertIs(refuse.refusal.verdict, Verdict.NOT_RUN)
+
+    def test_host_alone_without_targets_refuses_at_once(self):
+        gateway = self.build(peers=())
+        gateway.call()
+        self.assertEqual(gateway.find(Send), [])
+        self.assertEqual(gateway.find(Refuse)[0].refusal.status, 503)
+
+    def test_request_goes_to_another_failure_domain_first(self):
+        gateway = self.build(peers=(("h2", "a1"), ("h3", "a2"), ("h4", "b1")))
+        gateway.call()
+        self.assertEqual(gateway.find(Relay)[0].host, "h3")
+
     def test_success_without_a_seal_is_not_passed_on(self):
         gateway = self.build()
         gateway.call()
--- a/tests/daemon/platform/test_headers.py
+++ b/tests/daemon/platform/test_headers.py
@@ -4,12 +4,14 @@
 from unittest import TestCase
 
 from almondgap_core.units import millis, seconds
+from almondgap_core.verdict import Reason
 from almondgap_daemon.platform.headers import (
     make_request_headers,
     make_response_headers,
     parse_caller_headers,
     parse_load,
     parse_rate_limit,
+    parse_reason,
     parse_warm_up_left,
 )
 
@@ -48,6 +50,14 @@
         self.assertEqual(parsed.key, "")
 
 
+class RefusalTests(TestCase):
+    def test_only_known_reasons_are_read(self):
+        reason = parse_reason([(b"Almondgap-Reason", b"no-target")])
+        self.assertIs(reason, Reason.NO_TARGET)
+        for headers in ([], [(b"Almondgap-Reason", b"x" * 500)]):
+            self.assertIsNone(parse_reason(headers))
+
+
 class RequestTests(TestCase):
     def test_target_sees_its_name_account_and_time_but_no_key(self):
         forwarded = make_request_headers(CALLER, "i-1", "one", millis(1_234), 3)
