Hand orders over to other hosts on new connections only

An order that is sent on an idle connection which the other host closes at that moment, in a planned stop or after its idle time-out, may have run for all this host can tell, and its caller got 502 (read in the code: connections idle for less than a second were used; the test failed, since the hand-over didn't say). A new connection costs an order one round trip; reads use idle ones as before. An answer that names another request isn't taken for the answer of a request that was handed over, as for targets.

--- a/packages/almondgap-daemon/almondgap_daemon/gateway/target_client.py
+++ b/packages/almondgap-daemon/almondgap_daemon/gateway/target_client.py
@@ -117,10 +117,18 @@
             relay.time_left,
             len(exchange.body),
         )
-        request = Request(exchange.method, exchange.target, headers, exchange.body)
+        request = Request(
+            exchange.method,
+            exchange.target,
+            headers,
+            exchange.body,
+            lambda received: _find_echo(exchange, received) is not False,
+        )
         server = f"host {relay.host}"
+        # A host that stops closes its idle connections.
+        max_idle_s = 0.0 if relay.fresh else MAX_RELAY_IDLE_S
         response = yield self._exchange(
-            attempt, request, server, MAX_RELAY_IDLE_S, MAX_IDLE_RELAYS
+            attempt, request, server, max_idle_s, MAX_IDLE_RELAYS
         )
         if response is not None:
             on_response(response)
@@ -218,14 +226,6 @@
 
 
 def _build_request(send: Send, exchange: Exchange) -> Request:
-    request_id = find_header(exchange.headers, names.REQUEST_ID)
-
-    def matches(received: RawHeaders) -> bool | None:
-        echoed = find_header(received, names.REQUEST_ID)
-        if request_id is None:
-            return None if echoed is None else False
-        return None if echoed is None else echoed == request_id
-
     return Request(
         exchange.method,
         exchange.target,
@@ -237,10 +237,18 @@
             len(exchange.body),
         ),
         exchange.body,
-        matches,
+        lambda received: _find_echo(exchange, received),
     )
 
 
+def _find_echo(exchange: Exchange, received: RawHeaders) -> bool | None:
+    """Return whether an answer names this request, None if it names none."""
+    echoed = find_header(received, names.REQUEST_ID)
+    if echoed is None:
+        return None
+    return echoed == find_header(exchange.headers, names.REQUEST_ID)
+
+
 def _build_answer_event(now: int, send: Send, response: Response) -> TargetAnswered:
     misdirected = response.status == names.MISDIRECTED_STATUS
     return TargetAnswered(
--- a/tests/core/gateway/test_reachability.py
+++ b/tests/core/gateway/test_reachability.py
@@ -247,6 +247,13 @@
         self.assertEqual(refuse.refusal.reason, Reason.NO_TARGET)
         self.assertIs(refuse.refusal.verdict, Verdict.NOT_RUN)
 
+    def test_order_is_handed_over_on_a_new_connection(self):
+        gateway = self.build()
+        gateway.call("/orders/1")
+        self.assertTrue(gateway.find(Relay)[0].fresh)
+        gateway.call("/reads/1")
+        self.assertFalse(gateway.find(Relay)[0].fresh)
+
     def test_host_alone_without_targets_refuses_at_once(self):
         gateway = self.build(peers=())
         gateway.call()
