Refuse to serve what another host handed over with a newer configuration

A partitioned host that had served a caller by a new configuration could have the next request of that caller handled by a host that still had the older one: 404 for a route that is there, or a service that the route had left (read in the code; the test failed). The hand-over names the version of the host that received the request; a host with an older one refuses it as not ready, not run, and it goes to another.

--- a/packages/almondgap-core/almondgap_core/gateway/admission.py
+++ b/packages/almondgap-core/almondgap_core/gateway/admission.py
@@ -35,7 +35,7 @@
 def check_call(state: GatewayState, event: CallArrived) -> Call | Refusal:
     """Return the call for a valid request, or the refusal for another."""
     cfg = state.configuration
-    if cfg is None or state.outdated:
+    if cfg is None or state.outdated or cfg.version < event.min_version:
         return _refuse(
             503,
             Reason.NOT_READY,
--- a/packages/almondgap-core/almondgap_core/gateway/effects.py
+++ b/packages/almondgap-core/almondgap_core/gateway/effects.py
@@ -45,6 +45,7 @@
     :ivar address: address of that host for callers.
     :ivar time_left: time that it may take, in microseconds.
     :ivar prior_attempts: number of targets to which the request was sent before.
+    :ivar version: version of this host's configuration.
     :ivar fresh: whether the connection must be new.
     """
 
@@ -54,6 +55,7 @@
     address: str
     time_left: int
     prior_attempts: int
+    version: int
     fresh: bool
 
 
--- a/packages/almondgap-core/almondgap_core/gateway/events.py
+++ b/packages/almondgap-core/almondgap_core/gateway/events.py
@@ -37,6 +37,7 @@
         is the same when it is repeated, empty if unknown.
     :ivar prior_attempts: number of targets to which another host sent the request
         before it handed it over, None if it comes from a caller.
+    :ivar min_version: version of that host's configuration.
     """
 
     call: int
@@ -49,6 +50,7 @@
     caller_timeout: int
     content: str = ""
     prior_attempts: int | None = None
+    min_version: int = 0
 
 
 @frozen
--- a/packages/almondgap-core/almondgap_core/gateway/relays.py
+++ b/packages/almondgap-core/almondgap_core/gateway/relays.py
@@ -66,6 +66,7 @@
             location.caller_address,
             left,
             len(call.sent_to),
+            state.version,
             not call.route.idempotent,
         )
     )
--- a/packages/almondgap-daemon/almondgap_daemon/gateway/runtime.py
+++ b/packages/almondgap-daemon/almondgap_daemon/gateway/runtime.py
@@ -208,6 +208,7 @@
                 caller.timeout,
                 _compute_content_digest(exchange, caller.host),
                 caller.prior_attempts,
+                caller.min_version,
             )
         )
 
--- a/packages/almondgap-daemon/almondgap_daemon/gateway/target_client.py
+++ b/packages/almondgap-daemon/almondgap_daemon/gateway/target_client.py
@@ -114,6 +114,7 @@
         headers = names.make_relay_headers(
             exchange.headers,
             relay.prior_attempts,
+            relay.version,
             relay.time_left,
             len(exchange.body),
         )
--- a/packages/almondgap-daemon/almondgap_daemon/platform/headers.py
+++ b/packages/almondgap-daemon/almondgap_daemon/platform/headers.py
@@ -21,7 +21,7 @@
 EXPECTED_TARGET = b"x-almondgap-expect-instance"
 
 #: Set on a request that another host hands over, with the number of targets to which it
-#: was sent before.
+#: was sent before and the version of that host's configuration.
 RELAYED = b"almondgap-relayed"
 
 #: Set on a host's own answers, with the reason why it refused a request.
@@ -48,8 +48,8 @@
 
 _REASONS = frozenset(reason.value for reason in Reason)
 
-#: Maximum number of digits of a count of attempts.
-MAX_COUNT_DIGITS = 3
+#: Number of earlier attempts and version of the configuration.
+_RELAYED = re.compile(rb"(\d{1,3}) (\d{1,20})")
 
 #: A decimal number of requests per second.
 _RATE = re.compile(rb"\d{1,15}(\.\d{0,15})?|\.\d{1,15}")
@@ -64,6 +64,7 @@
     :ivar timeout: time for which the caller waits, in microseconds.
     :ivar prior_attempts: number of targets to which another host sent the request
         before it handed it over, None if it comes from a caller.
+    :ivar min_version: version of that host's configuration, 0 for a caller.
     """
 
     host: str
@@ -72,6 +73,7 @@
     key: str
     timeout: int
     prior_attempts: int | None
+    min_version: int
 
 
 def parse_caller_headers(headers: RawHeaders) -> CallerHeaders:
@@ -80,13 +82,15 @@
     scheme, _, key = _decode_value(find_header(headers, b"authorization")).partition(
         " "
     )
+    prior_attempts, min_version = _parse_relay(find_header(headers, RELAYED))
     return CallerHeaders(
         host=host.rpartition(":")[0] if ":" in host else host,
         request_id=_decode_value(find_header(headers, REQUEST_ID)),
         affinity_key=_decode_value(find_header(headers, AFFINITY_KEY)),
         key=key.strip() if scheme.lower() == "bearer" else "",
         timeout=_parse_timeout(find_header(headers, DEADLINE)),
-        prior_attempts=_parse_prior_attempts(find_header(headers, RELAYED)),
+        prior_attempts=prior_attempts,
+        min_version=min_version,
     )
 
 
@@ -107,18 +111,23 @@
 
 
 def make_relay_headers(
-    headers: RawHeaders, prior_attempts: int, time_left: int, body_bytes: int
+    headers: RawHeaders,
+    prior_attempts: int,
+    version: int,
+    time_left: int,
+    body_bytes: int,
 ) -> RawHeaders:
     """Return the headers of the request that is handed over to another host.
 
     :param headers: headers of the caller's request.
     :param prior_attempts: number of targets to which it was sent before.
+    :param version: version of this host's configuration.
     :param time_left: time until the request's deadline, in microseconds.
     :param body_bytes: length of the body, in bytes.
     """
     managed = frozenset({DEADLINE, RELAYED, b"expect"})
     forwarded = _forward_headers(headers, managed, time_left, body_bytes)
-    forwarded.append((b"Almondgap-Relayed", str(prior_attempts).encode()))
+    forwarded.append((b"Almondgap-Relayed", b"%d %d" % (prior_attempts, version)))
     return forwarded
 
 
@@ -205,11 +214,12 @@
     return Reason(value) if value in _REASONS else None
 
 
-def _parse_prior_attempts(value: bytes | None) -> int | None:
-    """Return the number of earlier attempts, 0 if it is malformed."""
+def _parse_relay(value: bytes | None) -> tuple[int | None, int]:
+    """Return the earlier attempts, None without any, and the required version."""
     if value is None:
-        return None
-    return int(value) if value.isdigit() and len(value) <= MAX_COUNT_DIGITS else 0
+        return None, 0
+    match = _RELAYED.fullmatch(value)
+    return (int(match[1]), int(match[2])) if match else (0, 0)
 
 
 def _decode_value(value: bytes | None) -> str:
--- a/packages/almondgap-testkit/almondgap_testkit/gateways/simulation.py
+++ b/packages/almondgap-testkit/almondgap_testkit/gateways/simulation.py
@@ -519,6 +519,7 @@
             call=number,
             caller_timeout=relay.time_left,
             prior_attempts=relay.prior_attempts,
+            min_version=relay.version,
         )
         peer.origins[number] = (host, relay)
 
--- a/tests/core/gateway/test_reachability.py
+++ b/tests/core/gateway/test_reachability.py
@@ -239,6 +239,15 @@
             self.assertEqual(gateway.find(Relay), [])
             self.assertEqual(len(gateway.find(Deliver)), 1)
 
+    def test_host_with_an_older_configuration_does_not_serve_what_it_is_handed(self):
+        gateway = GatewayHarness.build((announce("t1"),))
+        gateway.call(prior_attempts=0, min_version=2)
+        [refuse] = gateway.find(Refuse)
+        self.assertIs(refuse.refusal.reason, Reason.NOT_READY)
+        self.assertIs(refuse.refusal.verdict, Verdict.NOT_RUN)
+        gateway.call(prior_attempts=0, min_version=1)
+        self.assertEqual(len(gateway.find(Send)), 1)
+
     def test_host_without_targets_refuses_what_another_handed_over(self):
         gateway = self.build()
         gateway.call(prior_attempts=0)
--- a/tests/daemon/platform/test_headers.py
+++ b/tests/daemon/platform/test_headers.py
@@ -6,6 +6,8 @@
 from almondgap_core.units import millis, seconds
 from almondgap_core.verdict import Reason
 from almondgap_daemon.platform.headers import (
+    RELAYED,
+    make_relay_headers,
     make_request_headers,
     make_response_headers,
     parse_caller_headers,
@@ -50,6 +52,36 @@
         self.assertEqual(parsed.key, "")
 
 
+class RelayTests(TestCase):
+    def test_attempts_and_version_reach_the_other_host(self):
+        sent = make_relay_headers(CALLER, 2, 2**40, millis(1_234), 3)
+        parsed = parse_caller_headers(sent)
+        self.assertEqual((parsed.prior_attempts, parsed.min_version), (2, 2**40))
+        self.assertEqual(parsed.key, "secret")
+        self.assertEqual(parsed.timeout, millis(1_234))
+
+    def test_malformed_marks_count_no_attempt_and_need_no_version(self):
+        for value in (
+            b"",
+            b"2",
+            b"-1 0",
+            b"1 2 3",
+            b"1,2",
+            b"9999 1",
+            b"1 " + b"9" * 21,
+        ):
+            parsed = parse_caller_headers([(b"Almondgap-Relayed", value)])
+            self.assertEqual((parsed.prior_attempts, parsed.min_version), (0, 0))
+        parsed = parse_caller_headers(CALLER)
+        self.assertEqual((parsed.prior_attempts, parsed.min_version), (None, 0))
+
+    def test_mark_of_a_caller_is_replaced(self):
+        marked = [*CALLER, (b"almondgap-relayed", b"7 7")]
+        sent = make_relay_headers(marked, 0, 1, millis(5), 3)
+        marks = [value for name, value in sent if name.lower() == RELAYED]
+        self.assertEqual(marks, [b"0 1"])
+
+
 class RefusalTests(TestCase):
     def test_only_known_reasons_are_read(self):
         reason = parse_reason([(b"Almondgap-Reason", b"no-target")])
