Give back the token of a request that is handed over without having been sent

A request that took its account's token at a host, found no target within reach and was then handed to another host took a second token there, so callers of such hosts were refused within their rate in the first seconds of a partition (test: one token less than before after a connection failed and the request was handed over). What was sent to a target keeps its token, since it may have run.

--- a/packages/almondgap-core/almondgap_core/gateway/admission.py
+++ b/packages/almondgap-core/almondgap_core/gateway/admission.py
@@ -135,6 +135,7 @@
         return None
     bucket = refill_tokens(state, account, now)
     if bucket.take():
+        call.has_token = True
         return None
     limit_share = compute_limit_share(state, account)
     detail = (
@@ -149,5 +150,12 @@
     return _refuse(429, Reason.OVER_RATE, detail, wait)
 
 
+def return_token(state: GatewayState, call: Call) -> None:
+    """Give back the token of a request that was sent to no target."""
+    if call.has_token and not call.sent_to:
+        call.has_token = False
+        get_token_bucket(state, call.account).receive(1.0)
+
+
 def _refuse(status: int, reason: Reason, detail: str, wait: int | None = None):
     return Refusal(status, reason, Verdict.NOT_RUN, detail, wait)
--- a/packages/almondgap-core/almondgap_core/gateway/calls.py
+++ b/packages/almondgap-core/almondgap_core/gateway/calls.py
@@ -10,6 +10,7 @@
 from almondgap_core.gateway.admission import (
     check_call,
     get_token_bucket,
+    return_token,
     take_token,
 )
 from almondgap_core.gateway.attempts import record_failure, record_timeout, send_call
@@ -124,6 +125,8 @@
     if state.partitioned_since is not None:
         peer = choose_relay(state, call, now) if needs_relay(state, call) else None
         if peer is not None:
+            # The other host takes the token of the client account.
+            return_token(state, call)
             relay_call(state, call, peer, now)
             return
         if call.is_relayed or state.targets_silent:
@@ -256,7 +259,6 @@
         return
     state.perform(StartExpiryTimer(call.number, max(0, call.expires_at - now)))
     if needs_relay(state, call) and choose_relay(state, call, now) is not None:
-        # The other host takes the token of the client account.
         place_call(state, call, now)
         return
     if call.account is not None:
--- a/packages/almondgap-core/almondgap_core/gateway/state.py
+++ b/packages/almondgap-core/almondgap_core/gateway/state.py
@@ -57,6 +57,7 @@
     :ivar caller_deadline: when its caller stops waiting.
     :ivar fingerprint: identifies repetitions of the request by its client account at
         any host, empty if unknown.
+    :ivar has_token: whether it took a token of its client account here.
     :ivar sent_to: names of the targets to which it was sent, in order.
     :ivar failed_connects: attempts that failed before a connection was established.
     :ivar attempt: number of the attempt in flight, 0 if there is none.
@@ -82,6 +83,7 @@
     service: str
     affinity_key: str
     fingerprint: str = ""
+    has_token: bool = False
     sent_to: list[str] = Factory(list)
     failed_connects: int = 0
     attempt: int = 0
--- a/tests/core/gateway/test_reachability.py
+++ b/tests/core/gateway/test_reachability.py
@@ -165,7 +165,10 @@
 
 class RelayTests(TestCase):
     def build(
-        self, peers: tuple = (("h2", "a2"), ("h3", "b1")), **changes
+        self,
+        peers: tuple = (("h2", "a2"), ("h3", "b1")),
+        partitioned: bool = True,
+        **changes,
     ) -> GatewayHarness:
         """Return a host that reaches no target, by default with a peer per region."""
         targets = tuple(
@@ -176,10 +179,15 @@
         for host, failure_domain in peers:
             location = build_location(host, failure_domain)
             gateway.feed(HeartbeatReceived, Heartbeat(location, 1, 1, True, 1))
-        for target in targets:
-            gateway.feed(ConnectionChecked, target.target, None)
+        if partitioned:
+            self.lose_targets(gateway)
         return gateway
 
+    def lose_targets(self, gateway: GatewayHarness) -> None:
+        """Let checks of all targets fail."""
+        for name in list(gateway.state.targets):
+            gateway.feed(ConnectionChecked, name, None)
+
     def test_request_goes_only_to_hosts_in_its_regions(self):
         routes = (build_route(regions=frozenset({"b"})),)
         gateway = self.build(configuration=build_configuration(routes=routes))
@@ -296,6 +304,24 @@
         self.assertTrue(gateway.find(Relay))
         self.assertIs(gateway.state.token_buckets.get("one"), bucket)
 
+    def test_token_of_a_request_that_was_sent_nowhere_is_given_back(self):
+        accounts = {"one": Account("one", frozenset({KEY}), None, 100.0, 100.0)}
+        gateway = self.build(
+            configuration=build_configuration(accounts=accounts), partitioned=False
+        )
+        gateway.call("/orders/1")
+        [send] = gateway.find(Send)
+        bucket = gateway.state.token_buckets["one"]
+        level = bucket.level
+        self.lose_targets(gateway)
+        failure = (Failure.NOT_CONNECTED, Verdict.NOT_RUN)
+        gateway.feed(AttemptFailed, 1, send.attempt, *failure)
+        [relay] = gateway.find(Relay)
+        self.assertEqual(bucket.level, level + 1)
+        failure = (Failure.NOT_CONNECTED, Verdict.NOT_RUN)
+        gateway.feed(AttemptFailed, 1, relay.attempt, *failure)
+        self.assertEqual(bucket.level, level + 1)
+
     def test_directory_names_no_host_without_targets_beside_others(self):
         gateway = self.build()
         addresses = list_caller_addresses(gateway.state, "a1", "a", gateway.now)
