Repeat the check of a target that broke off requests when it gets no answer

One lost packet, or no socket left for the check, and a crash was counted by nobody who had seen it: the check was made once, and the broken connection forgotten 2 s later (new test: no second check). It is now repeated with each tick until the target accepts or refuses, within the same 2 s.

--- a/packages/almondgap-core/almondgap_core/gateway/quarantine.py
+++ b/packages/almondgap-core/almondgap_core/gateway/quarantine.py
@@ -54,7 +54,7 @@
     if lost is None:
         crash = Crash(target.name, target.announcement.incarnation)
         lost = state.lost_targets[target.name] = LostTarget(crash, now)
-        state.perform(CheckConnection(target.name, target.announcement.address))
+        _check_lost_target(state, lost)
     lost.fingerprints[call.fingerprint] = None
 
 
@@ -64,8 +64,9 @@
     if event.accepted:
         state.lost_targets.pop(event.target, None)
     lost = state.lost_targets.get(event.target)
-    if lost is not None and event.accepted is False:
-        lost.refused = True
+    if lost is not None:
+        lost.checking = False
+        lost.refused = lost.refused or event.accepted is False
     confirm_crashes(state, now)
     if lost is not None and event.target in state.lost_targets:
         _check_other_target(state)
@@ -76,6 +77,9 @@
     for name, lost in list(state.lost_targets.items()):
         if event.now - lost.lost_at > PROOF_TIMEOUT_US:
             del state.lost_targets[name]
+        elif not lost.refused and not lost.checking:
+            # The check before got no answer, so packets may have been lost.
+            _check_lost_target(state, lost)
     if any(lost.refused for lost in state.lost_targets.values()):
         _check_other_target(state)
 
@@ -182,6 +186,13 @@
     }
 
 
+def _check_lost_target(state: GatewayState, lost: LostTarget) -> None:
+    target = state.targets.get(lost.crash.target)
+    if target is not None:
+        lost.checking = True
+        state.perform(CheckConnection(target.name, target.announcement.address))
+
+
 def _check_other_target(state: GatewayState) -> None:
     """Find out whether this host can reach any target that broke off nothing."""
     others = [
--- a/packages/almondgap-core/almondgap_core/gateway/suspects.py
+++ b/packages/almondgap-core/almondgap_core/gateway/suspects.py
@@ -114,9 +114,11 @@
     :ivar lost_at: when it did.
     :ivar fingerprints: requests that were in progress there.
     :ivar refused: whether it has refused a connection since.
+    :ivar checking: whether a connection to it is being tried.
     """
 
     crash: Crash
     lost_at: int
     fingerprints: dict[str, None] = Factory(dict)
     refused: bool = False
+    checking: bool = True
--- a/tests/core/gateway/test_quarantine.py
+++ b/tests/core/gateway/test_quarantine.py
@@ -9,11 +9,13 @@
 from unittest import TestCase
 
 from almondgap_core.gateway.configuration import Account
+from almondgap_core.gateway.effects import CheckConnection
 from almondgap_core.gateway.events import (
     AttemptFailed,
     ConnectionChecked,
     Failure,
     TargetAnswered,
+    Ticked,
 )
 from almondgap_core.units import seconds
 from almondgap_core.verdict import Reason, Verdict
@@ -182,6 +184,26 @@
         [suspect] = gateway.state.suspects.values()
         self.assertEqual(suspect.count, 1)
 
+    def test_check_of_a_connection_that_gets_no_answer_is_repeated(self):
+        gateway = self.build()
+        gateway.call(content="c1")
+        target = gateway.state.calls[gateway.number].target
+        failure = (Failure.CONNECTION_LOST, Verdict.MAY_HAVE_RUN)
+        gateway.feed(AttemptFailed, gateway.number, 1, *failure)
+        for fields in ({"accepted": None}, {"accepted": None, "performed": False}):
+            gateway.now += seconds(0.25)
+            gateway.feed(ConnectionChecked, target, **fields)
+            gateway.now += seconds(0.25)
+            gateway.feed(Ticked)
+            checked = {check.target for check in gateway.find(CheckConnection)}
+            self.assertIn(target, checked)
+        gateway.feed(ConnectionChecked, target, False)
+        gateway.now += 10
+        other = next(name for name in gateway.state.targets if name != target)
+        gateway.feed(ConnectionChecked, other, True)
+        [suspect] = gateway.state.suspects.values()
+        self.assertEqual(suspect.count, 1)
+
     def test_broken_connection_to_a_living_target_is_no_crash(self):
         gateway = self.build()
         self.crash(gateway, refused=False, answered=True)
