Save requests in quarantine in the store, for hosts that restart

When all hosts restarted at once, nobody knew the request of death any more: it ended three more targets and was tried twice again. A host that heard no other host, but reached the store, also had to find out by itself. The host that sees a request go into quarantine, be tried or be cleared writes or removes its row in almondgap-suspects, until the store has taken it; a host that starts reads all rows once. While members can't be heard, a host saves each crash that it sees and reads the rows after it, and makes no trial, which the others may make as well. After a restore of the store from a copy, the host in charge writes its rows again. Following the table would cost every host a long poll in calm and was left out.

--- a/packages/almondgap-core/almondgap_core/gateway/effects.py
+++ b/packages/almondgap-core/almondgap_core/gateway/effects.py
@@ -7,7 +7,7 @@
 from almondgap_core.gateway.events import StoreTable
 from almondgap_core.gateway.heartbeats import AdvertisedLimits, Heartbeat, StoreView
 from almondgap_core.gateway.reports import Report
-from almondgap_core.gateway.suspects import Suspects
+from almondgap_core.gateway.suspects import SuspectReport, Suspects
 from almondgap_core.verdict import Refusal
 
 
@@ -169,6 +169,18 @@
     addresses: tuple[str, ...]
 
 
+@frozen
+class SaveSuspect(GatewayEffect):
+    """Write what is known about a request to the store, or remove it if cleared."""
+
+    report: SuspectReport
+
+
+@frozen
+class ReadSuspects(GatewayEffect):
+    """Read from the store what hosts know about requests."""
+
+
 @frozen
 class ReadTable(GatewayEffect):
     """Read the changes of a table at once, in place of a call that waits for them."""
--- a/packages/almondgap-core/almondgap_core/gateway/quarantine.py
+++ b/packages/almondgap-core/almondgap_core/gateway/quarantine.py
@@ -13,13 +13,22 @@
 
 from __future__ import annotations
 
-from almondgap_core.gateway.effects import CheckConnection
-from almondgap_core.gateway.events import ConnectionChecked, GatewayEvent, Ticked
+from almondgap_core.gateway.effects import CheckConnection, ReadSuspects
+from almondgap_core.gateway.events import (
+    ConnectionChecked,
+    GatewayEvent,
+    StoreRestored,
+    Ticked,
+)
 from almondgap_core.gateway.fleet import list_live_peers
 from almondgap_core.gateway.ranking import sort_hosts
 from almondgap_core.gateway.reports import TargetCrashed
 from almondgap_core.gateway.state import Call, GatewayState
-from almondgap_core.gateway.suspect_exchange import publish_suspects, record_change
+from almondgap_core.gateway.suspect_exchange import (
+    publish_suspects,
+    record_change,
+    save_suspect,
+)
 from almondgap_core.gateway.suspects import (
     QUARANTINE_CRASHES,
     Crash,
@@ -101,8 +110,11 @@
             if suspect.add(lost.crash):
                 record_change(state, fingerprint, suspect, "", now)
                 changed.add(fingerprint)
-    if changed:
-        publish_suspects(state, changed)
+    if not changed:
+        return
+    publish_suspects(state, changed)
+    if state.has_silent_peers:
+        state.perform(ReadSuspects())
 
 
 def clear_call(state: GatewayState, call: Call, now: int) -> None:
@@ -170,6 +182,13 @@
     publish_suspects(state, {call.fingerprint})
 
 
+def handle_store_restored(state: GatewayState, event: StoreRestored) -> None:
+    """Save requests in quarantine again, of which the copy may have no row."""
+    for fingerprint, suspect in state.suspects.items():
+        if suspect.quarantined and _rank_host(state, fingerprint, event.now) == 0:
+            save_suspect(state, fingerprint, suspect)
+
+
 def list_suspected_targets(state: GatewayState, call: Call) -> set[str]:
     """Return the targets that a request must avoid, since others are suspected there.
 
@@ -209,17 +228,25 @@
     state: GatewayState, fingerprint: str, suspect: Suspect, now: int
 ) -> int:
     """Return when this host may try a request in quarantine again."""
+    turn = _rank_host(state, fingerprint, now) * TURN_US
+    due = suspect.changed_at + TRIAL_DELAYS_US[suspect.trials] + turn
+    # Hosts that cannot be heard may take the same turn.
+    return max(due, now + TURN_US) if state.has_silent_peers else due
+
+
+def _rank_host(state: GatewayState, fingerprint: str, now: int) -> int:
+    """Return this host's position in the order of hosts in charge of a request."""
     locations = [
         peer.location
         for peer in list_live_peers(state, now)
         if peer.heartbeat.ready and peer.heartbeat.reaches_targets
     ]
     hosts = sort_hosts([*locations, state.location], fingerprint, "")
-    turn = hosts.index(state.location) * TURN_US
-    return suspect.changed_at + TRIAL_DELAYS_US[suspect.trials] + turn
+    return hosts.index(state.location)
 
 
 EVENT_HANDLERS: dict[type[GatewayEvent], object] = {
     ConnectionChecked: handle_connection_checked,
+    StoreRestored: handle_store_restored,
     Ticked: handle_tick,
 }
--- a/packages/almondgap-core/almondgap_core/gateway/state.py
+++ b/packages/almondgap-core/almondgap_core/gateway/state.py
@@ -269,6 +269,13 @@
         is_current = self.configuration is not None and not self.outdated
         return is_current and not self.stopping
 
+    @property
+    def has_silent_peers(self) -> bool:
+        """Whether hosts that count as members cannot be heard."""
+        return any(
+            peer.unresponsive and not peer.departed for peer in self.peers.values()
+        )
+
     @property
     def version(self) -> int:
         """Version of the configuration in force, 0 if there is none."""
--- a/packages/almondgap-core/almondgap_core/gateway/suspect_exchange.py
+++ b/packages/almondgap-core/almondgap_core/gateway/suspect_exchange.py
@@ -2,12 +2,14 @@
 
 News is sent to all hosts at once and repeated with heartbeats, since messages can be
 lost. Hosts pass on what they heard, so that two hosts that cannot reach each other
-learn it from a third one.
+learn it from a third one. Requests in quarantine are also saved in the store, since
+all hosts may restart at once; while a host does not hear others, it saves what it
+observes and reads what they saved after each crash that it sees.
 """
 
 from __future__ import annotations
 
-from almondgap_core.gateway.effects import SendSuspects
+from almondgap_core.gateway.effects import SaveSuspect, SendSuspects
 from almondgap_core.gateway.events import GatewayEvent, SuspectsReceived, Ticked
 from almondgap_core.gateway.reports import RequestSuspected
 from almondgap_core.gateway.state import GatewayState
@@ -89,6 +91,16 @@
             source or state.location.host,
         )
     )
+    is_new = suspect.quarantined or state.has_silent_peers
+    if not source and (is_new or suspect.saved):
+        save_suspect(state, fingerprint, suspect)
+    suspect.saved = suspect.saved or suspect.quarantined
+
+
+def save_suspect(state: GatewayState, fingerprint: str, suspect: Suspect) -> None:
+    """Let a host that starts later read from the store what is known."""
+    suspect.saved = True
+    state.perform(SaveSuspect(suspect.make_report(fingerprint)))
 
 
 def _drop_excess(state: GatewayState) -> None:
--- a/packages/almondgap-core/almondgap_core/gateway/suspects.py
+++ b/packages/almondgap-core/almondgap_core/gateway/suspects.py
@@ -37,6 +37,11 @@
     cleared: tuple[Crash, ...]
     trials: int
 
+    @property
+    def is_cleared(self) -> bool:
+        """Whether no crash counts."""
+        return len(self.cleared) == len(self.crashes)
+
 
 @frozen
 class Suspects:
@@ -57,12 +62,14 @@
     :ivar trials: number of times it was sent while in quarantine.
     :ivar changed_at: when this host last learned something about it.
     :ivar requested_at: when it last arrived here while in quarantine.
+    :ivar saved: whether the store may have a row of it.
     """
 
     crashes: dict[Crash, bool] = Factory(dict)
     trials: int = 0
     changed_at: int = 0
     requested_at: int = 0
+    saved: bool = False
 
     @property
     def count(self) -> int:
--- a/packages/almondgap-daemon/almondgap_daemon/gateway/process.py
+++ b/packages/almondgap-daemon/almondgap_daemon/gateway/process.py
@@ -26,6 +26,7 @@
 from almondgap_daemon.gateway.messages import MessageSocket
 from almondgap_daemon.gateway.metrics import GatewayMetrics
 from almondgap_daemon.gateway.runtime import GatewayRuntime
+from almondgap_daemon.gateway.suspect_store import SuspectStore
 from almondgap_daemon.gateway.watcher import StoreWatcher
 from almondgap_daemon.http.pages import Page, PageHandler
 from almondgap_daemon.http.server import ServerFactory, ServerLimits
@@ -118,6 +119,7 @@
     runtime: GatewayRuntime
     store: StoreClient
     watcher: StoreWatcher = field(init=False)
+    suspects: SuspectStore = field(init=False)
     messages: MessageSocket = field(init=False)
     callers: ServerFactory = field(init=False)
     callers_port: object = None
@@ -139,7 +141,14 @@
             started_at=round(reactor.seconds() * MICROS_PER_SECOND),
         )
         runtime = GatewayRuntime(
-            reactor, state, log, GatewayMetrics(), send_message=None, read_table=None
+            reactor,
+            state,
+            log,
+            GatewayMetrics(),
+            send_message=None,
+            read_table=None,
+            save_suspect=None,
+            read_suspects=None,
         )
         store = StoreClient(reactor, cfg.store)
         return cls(reactor, cfg, path, log, runtime, store)
@@ -155,10 +164,20 @@
             self._log_ignored,
             lambda table, failures: plan_call(runtime.state, table, failures),
         )
+        self.suspects = SuspectStore(
+            self.reactor,
+            self.store,
+            runtime.feed,
+            runtime.now,
+            time.time,
+            self._log_ignored,
+        )
         self.messages = MessageSocket(runtime.handle_message, self._log_ignored)
         self.store.on_restored = self._handle_store_restored
         runtime.send_message = self.messages.send
         runtime.read_table = self.watcher.read_table
+        runtime.save_suspect = self.suspects.save
+        runtime.read_suspects = self.suspects.read
         self.callers = ServerFactory(self.reactor, runtime, self._log_ignored)
         self.callers.connections.limit = _count_callers(self.cfg)
         self._settings_mtime = _read_mtime(self.path)
@@ -184,6 +203,7 @@
         )
         self.runtime.start()
         self.watcher.start()
+        self.suspects.read()
         self._register()
         self._poll()
 
--- a/packages/almondgap-daemon/almondgap_daemon/gateway/runtime.py
+++ b/packages/almondgap-daemon/almondgap_daemon/gateway/runtime.py
@@ -20,10 +20,12 @@
     GrantTokens,
     Log,
     Probe,
+    ReadSuspects,
     ReadTable,
     Refuse,
     Relay,
     RequestTokens,
+    SaveSuspect,
     Send,
     SendAdvertisedLimits,
     SendHeartbeat,
@@ -104,6 +106,8 @@
 
     :ivar send_message: sends a message to the given addresses.
     :ivar read_table: reads the changes of a table of the store at once.
+    :ivar save_suspect: saves in the store what is known about a request.
+    :ivar read_suspects: reads from the store what hosts saved about requests.
     """
 
     reactor: object
@@ -112,6 +116,8 @@
     metrics: GatewayMetrics
     send_message: Callable
     read_table: Callable
+    save_suspect: Callable
+    read_suspects: Callable
     target_client: TargetClient = field(init=False)
     _pending: dict[int, PendingCall] = field(factory=dict)
     _last_number: int = 0
@@ -146,6 +152,8 @@
             SendSuspects: lambda effect: self.send_message(
                 effect.message, *effect.addresses
             ),
+            SaveSuspect: lambda effect: self.save_suspect(effect.report),
+            ReadSuspects: lambda effect: self.read_suspects(),
             ReadTable: lambda effect: self.read_table(effect.table),
             RequestTokens: self._ask_tokens,
             GrantTokens: self._give_tokens,
--- a/packages/almondgap-daemon/almondgap_daemon/platform/records.py
+++ b/packages/almondgap-daemon/almondgap_daemon/platform/records.py
@@ -23,6 +23,7 @@
     Service,
 )
 from almondgap_core.gateway.heartbeats import HostLocation
+from almondgap_core.gateway.suspects import Crash, SuspectReport
 from almondgap_core.gateway.target import Announcement
 from almondgap_core.units import seconds
 
@@ -38,6 +39,9 @@
 #: Table in which hosts of this system discover each other.
 HOSTS_TABLE = "almondgap-hosts"
 
+#: Table in which hosts of this system save requests that crash targets.
+SUSPECTS_TABLE = "almondgap-suspects"
+
 #: Kind of routes whose requests are idempotent.
 IDEMPOTENT_KIND = "safe"
 
@@ -167,6 +171,42 @@
         raise MessageError(f"malformed host: {exc!r}") from exc
 
 
+def encode_suspect(report: SuspectReport, saved_at: float) -> bytes:
+    """Return the bytes of the row of a request that crashes targets.
+
+    :param saved_at: Unix time, in seconds.
+    """
+    crashes = [
+        [crash.target, crash.incarnation, crash in report.cleared]
+        for crash in report.crashes
+    ]
+    data = {"crashes": crashes, "trials": report.trials, "saved_at": round(saved_at)}
+    return json.dumps(data).encode()
+
+
+def decode_suspect(fingerprint: str, value: bytes) -> tuple[SuspectReport, int]:
+    """Return what a row says about a request, and when it was written.
+
+    :return: the report, and a Unix time in seconds.
+    :raises MessageError: the row is malformed.
+    """
+    data = _parse_object(value)
+    try:
+        known = [
+            (Crash(_check_text(target), _check_count(incarnation)), bool(cleared))
+            for target, incarnation, cleared in data["crashes"]
+        ]
+        report = SuspectReport(
+            fingerprint,
+            tuple(crash for crash, _ in known),
+            tuple(crash for crash, cleared in known if cleared),
+            _check_count(data["trials"]),
+        )
+        return report, _check_count(data["saved_at"])
+    except _DECODE_ERRORS as exc:
+        raise MessageError(f"malformed suspect: {exc!r}") from exc
+
+
 def _decode_route(name: str, data: dict[str, Any]) -> Route:
     split = data.get("traffic_split")
     if split:
--- a/packages/almondgap-testkit/almondgap_testkit/gateways/simulation.py
+++ b/packages/almondgap-testkit/almondgap_testkit/gateways/simulation.py
@@ -23,9 +23,11 @@
     GrantTokens,
     Log,
     Probe,
+    ReadSuspects,
     Refuse,
     Relay,
     RequestTokens,
+    SaveSuspect,
     Send,
     SendAdvertisedLimits,
     SendHeartbeat,
@@ -59,6 +61,7 @@
 from almondgap_core.gateway.fleet import register_peers
 from almondgap_core.gateway.reducer import step
 from almondgap_core.gateway.state import Bounds, GatewayState
+from almondgap_core.gateway.suspects import SuspectReport, Suspects
 from almondgap_core.gateway.target import Announcement
 from almondgap_core.units import millis, seconds
 from almondgap_core.verdict import Refusal, Verdict
@@ -106,7 +109,7 @@
         none, None for a malformed value.
     :ivar arrivals: times of all requests that reached it, each with its host.
     :ivar runs: request ids that it started to process, with the time.
-    :ivar contents: times at which requests with a content reached it.
+    :ivar contents: times, contents and hosts of the requests that reached it.
     :ivar crashes: times at which it crashed.
     :ivar cache_misses: number of objects that it had to fetch.
     """
@@ -123,7 +126,7 @@
     cached: dict[str, int] = Factory(dict)
     arrivals: list[tuple[int, str]] = Factory(list)
     runs: list[tuple[int, str]] = Factory(list)
-    contents: list[tuple[int, str]] = Factory(list)
+    contents: list[tuple[int, str, str]] = Factory(list)
     crashes: list[int] = Factory(list)
     cache_misses: int = 0
 
@@ -190,6 +193,7 @@
     :ivar partitioned: hosts that reach no target, with the manner: ``hang`` (nothing is
         answered), ``reset`` (connections break, then hang), ``refuse`` (connections
         live on, new ones are refused).
+    :ivar saved_suspects: rows of requests in the store, by fingerprint.
     :ivar deadly: contents of requests that crash each target that runs them.
     """
 
@@ -203,6 +207,7 @@
     reports: list[tuple[int, str, object]] = Factory(list)
     isolated: set[str] = Factory(set)
     partitioned: dict[str, str] = Factory(dict)
+    saved_suspects: dict[str, SuspectReport] = Factory(dict)
     deadly: set[str] = Factory(set)
     _last_number: int = 0
     _last_incarnation: int = 0
@@ -231,6 +236,7 @@
         self._feed(host, ConfigurationRead, self.configuration)
         listed = tuple(target.announcement for target in self.targets.values())
         self._feed(host, TargetsRead, listed)
+        self._read_suspects(host)
         self._tick(host)
         return host
 
@@ -394,6 +400,10 @@
             elif isinstance(effect, SendSuspects):
                 message = (SuspectsReceived, effect.message)
                 self._send_message(host, effect.addresses, *message)
+            elif isinstance(effect, SaveSuspect):
+                self._save_suspect(effect.report)
+            elif isinstance(effect, ReadSuspects):
+                self._read_suspects(host)
             elif isinstance(effect, CheckConnection):
                 self._check_connection(host, effect.target)
             elif isinstance(effect, Probe):
@@ -480,6 +490,18 @@
             ONE_WAY_DELAY_US, lambda: self._feed(self.hosts[name], *event)
         )
 
+    def _save_suspect(self, report: SuspectReport) -> None:
+        if report.is_cleared:
+            self.saved_suspects.pop(report.fingerprint, None)
+        else:
+            self.saved_suspects[report.fingerprint] = report
+
+    def _read_suspects(self, host: ModelHost) -> None:
+        saved = Suspects("store", tuple(self.saved_suspects.values()))
+        self.clock.call_later(
+            2 * ONE_WAY_DELAY_US, lambda: self._feed(host, SuspectsReceived, saved)
+        )
+
     def _check_connection(self, host: ModelHost, target: str) -> None:
         manner = self.partitioned.get(host.state.location.host)
         delay, accepted = 2 * ONE_WAY_DELAY_US, self.targets[target].mode != "dead"
@@ -574,7 +596,8 @@
             self._deliver_result(host, send, AttemptFailed, *failure)
             return
         target.arrivals.append((self.clock.now, host.state.location.host))
-        target.contents.append((self.clock.now, event.content))
+        name = host.state.location.host
+        target.contents.append((self.clock.now, event.content, name))
         if target.mode == "shedding" or len(target.waiting) >= target.queue_length:
             self._answer(host, send, target, 503, not_executed=True)
         elif target.running < slots:
--- a/tests/core/gateway/test_quarantine.py
+++ b/tests/core/gateway/test_quarantine.py
@@ -75,7 +75,7 @@
     return sum(
         at > since and content == "deadly"
         for target in sim.targets.values()
-        for at, content in target.contents
+        for at, content, _ in target.contents
     )
 
 
@@ -113,6 +113,38 @@
             with self.subTest(seed=seed):
                 self.assertLessEqual(count_late_sends(sim), MAX_SENDS)
 
+    def test_fleet_that_restarts_knows_the_request(self):
+        for seed in range(5):
+            sim = build_fleet(seed)
+            repeat_deadly(sim, 4, seconds(60))
+            sim.run(seconds(10))
+            for name in sim.hosts:
+                sim.kill_host(name)
+            sim.run(seconds(1))
+            for number, failure_domain in enumerate(DOMAINS):
+                sim.add_host(f"h{number}", failure_domain)
+            sim.run(seconds(50))
+            with self.subTest(seed=seed):
+                self.assertLessEqual(count_late_sends(sim), MAX_SENDS)
+                self.assertLessEqual(len(list_crashes(sim)), 3 + MAX_SENDS)
+
+    def test_host_that_hears_no_other_learns_the_request_from_the_store(self):
+        for seed in range(5):
+            sim = build_fleet(seed)
+            repeat_deadly(sim, 4, seconds(30))
+            sim.run(seconds(1))
+            sim.isolated.add("h5")
+            sim.run(seconds(12))
+            since = list_crashes(sim)[2] + CONTACT_US
+            sends = [
+                at
+                for target in sim.targets.values()
+                for at, content, host in target.contents
+                if content == "deadly" and host == "h5" and at > since
+            ]
+            with self.subTest(seed=seed):
+                self.assertLessEqual(len(sends), 1)
+
     def test_request_of_death_that_comes_rarely_is_known(self):
         sim = build_fleet()
         for number in range(12):
