--- a/packages/almondgap-testkit/almondgap_testkit/gateways/simulation.py
+++ b/packages/almondgap-testkit/almondgap_testkit/gateways/simulation.py
@@ -565,6 +565,7 @@
 
     def _send(self, host: ModelHost, send: Send) -> None:
         host.attempts[send.call, send.attempt] = send
+        host.relayed_answers.pop(send.call, None)
         target = self.targets[send.target]
         event = host.open[send.call]
         manner = self.partitioned.get(host.state.location.host)
