--- a/packages/almondgap-core/almondgap_core/gateway/admission.py
+++ b/packages/almondgap-core/almondgap_core/gateway/admission.py
@@ -7,10 +7,11 @@
 
 from hashlib import blake2b
 
+from almondgap_core.gateway.call import Call
 from almondgap_core.gateway.configuration import Account, Route
 from almondgap_core.gateway.events import CallArrived
 from almondgap_core.gateway.limit_shares import compute_limit_share
-from almondgap_core.gateway.state import Call, GatewayState
+from almondgap_core.gateway.state import GatewayState
 from almondgap_core.gateway.token_bucket import TokenBucket
 from almondgap_core.units import MICROS_PER_SECOND, millis
 from almondgap_core.verdict import Reason, Refusal, Verdict
--- a/packages/almondgap-core/almondgap_core/gateway/attempts.py
+++ b/packages/almondgap-core/almondgap_core/gateway/attempts.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from almondgap_core.gateway.call import Call
 from almondgap_core.gateway.effects import Send
 from almondgap_core.gateway.events import AttemptFailed, Failure
 from almondgap_core.gateway.fleet import count_hosts
@@ -9,7 +10,7 @@
 from almondgap_core.gateway.placement import Choice
 from almondgap_core.gateway.reachability import record_unreached
 from almondgap_core.gateway.reports import RequestPlaced
-from almondgap_core.gateway.state import Call, GatewayState
+from almondgap_core.gateway.state import GatewayState
 from almondgap_core.gateway.target_limits import take_limit_token
 from almondgap_core.gateway.warmup import is_warming_up, schedule_next_warmup
 from almondgap_core.units import MICROS_PER_MILLI
--- a/packages/almondgap-core/almondgap_core/gateway/calls.py
+++ b/packages/almondgap-core/almondgap_core/gateway/calls.py
@@ -14,6 +14,7 @@
     take_token,
 )
 from almondgap_core.gateway.attempts import record_failure, record_timeout, send_call
+from almondgap_core.gateway.call import Call
 from almondgap_core.gateway.effects import Abandon, Cancel, Deliver, StartExpiryTimer
 from almondgap_core.gateway.events import (
     AttemptFailed,
@@ -67,7 +68,7 @@
 )
 from almondgap_core.gateway.retry_budget import RetryBudget
 from almondgap_core.gateway.startup import hold_arrival, release_arrivals
-from almondgap_core.gateway.state import Call, GatewayState
+from almondgap_core.gateway.state import GatewayState
 from almondgap_core.gateway.token_requests import (
     handle_timeout,
     handle_tokens_requested,
--- a/packages/almondgap-core/almondgap_core/gateway/fleet.py
+++ b/packages/almondgap-core/almondgap_core/gateway/fleet.py
@@ -16,8 +16,9 @@
 )
 from almondgap_core.gateway.heartbeats import Heartbeat, HostLocation
 from almondgap_core.gateway.limit_shares import update_membership
+from almondgap_core.gateway.peer import Peer
 from almondgap_core.gateway.reports import HostChanged, StopBegun
-from almondgap_core.gateway.state import GatewayState, Peer
+from almondgap_core.gateway.state import GatewayState
 from almondgap_core.gateway.suspect_exchange import send_all_suspects, send_suspects
 from almondgap_core.gateway.target_limits import send_all_limits, send_limits
 from almondgap_core.units import MICROS_PER_MILLI, millis, seconds
--- a/packages/almondgap-core/almondgap_core/gateway/health.py
+++ b/packages/almondgap-core/almondgap_core/gateway/health.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from almondgap_core.gateway.call import Call
 from almondgap_core.gateway.discovery import WARMUP_MARGIN_US
 from almondgap_core.gateway.effects import CloseIdleConnections, Probe
 from almondgap_core.gateway.events import (
@@ -23,7 +24,7 @@
     is_candidate,
 )
 from almondgap_core.gateway.reports import TargetChanged
-from almondgap_core.gateway.state import Call, GatewayState
+from almondgap_core.gateway.state import GatewayState
 from almondgap_core.gateway.target import Target
 from almondgap_core.gateway.target_limits import (
     has_limit_token,
--- a/packages/almondgap-core/almondgap_core/gateway/limit_shares.py
+++ b/packages/almondgap-core/almondgap_core/gateway/limit_shares.py
@@ -12,8 +12,9 @@
 from __future__ import annotations
 
 from almondgap_core.gateway.configuration import Account
+from almondgap_core.gateway.peer import Peer
 from almondgap_core.gateway.ranking import compute_rank
-from almondgap_core.gateway.state import GatewayState, Peer
+from almondgap_core.gateway.state import GatewayState
 from almondgap_core.gateway.token_bucket import LimitShare
 from almondgap_core.units import seconds
 
--- a/packages/almondgap-core/almondgap_core/gateway/overload.py
+++ b/packages/almondgap-core/almondgap_core/gateway/overload.py
@@ -10,8 +10,9 @@
 
 from __future__ import annotations
 
+from almondgap_core.gateway.call import Call
 from almondgap_core.gateway.placement import Choice
-from almondgap_core.gateway.state import Call, GatewayState
+from almondgap_core.gateway.state import GatewayState
 from almondgap_core.units import MICROS_PER_MILLI, millis
 from almondgap_core.verdict import Reason, Refusal, Verdict
 
--- a/packages/almondgap-core/almondgap_core/gateway/placement.py
+++ b/packages/almondgap-core/almondgap_core/gateway/placement.py
@@ -14,10 +14,11 @@
 
 from attrs import frozen
 
+from almondgap_core.gateway.call import Call
 from almondgap_core.gateway.quarantine import list_suspected_targets
 from almondgap_core.gateway.ranking import compute_score
 from almondgap_core.gateway.region_plan import plan_shares
-from almondgap_core.gateway.state import Call, GatewayState
+from almondgap_core.gateway.state import GatewayState
 from almondgap_core.gateway.target import (
     MAX_SLOWDOWN,
     MIN_SLOWDOWN,
--- a/packages/almondgap-core/almondgap_core/gateway/quarantine.py
+++ b/packages/almondgap-core/almondgap_core/gateway/quarantine.py
@@ -13,6 +13,7 @@
 
 from __future__ import annotations
 
+from almondgap_core.gateway.call import Call
 from almondgap_core.gateway.effects import CheckConnection, ReadSuspects
 from almondgap_core.gateway.events import (
     ConnectionChecked,
@@ -23,7 +24,7 @@
 from almondgap_core.gateway.fleet import list_live_peers
 from almondgap_core.gateway.ranking import sort_hosts
 from almondgap_core.gateway.reports import TargetCrashed
-from almondgap_core.gateway.state import Call, GatewayState
+from almondgap_core.gateway.state import GatewayState
 from almondgap_core.gateway.suspect_exchange import (
     publish_suspects,
     record_change,
--- a/packages/almondgap-core/almondgap_core/gateway/refusals.py
+++ b/packages/almondgap-core/almondgap_core/gateway/refusals.py
@@ -8,11 +8,12 @@
 
 from __future__ import annotations
 
+from almondgap_core.gateway.call import Call
 from almondgap_core.gateway.effects import Refuse
 from almondgap_core.gateway.events import CallArrived
 from almondgap_core.gateway.placement import get_service_time, list_limited_targets
 from almondgap_core.gateway.reports import RequestRefused
-from almondgap_core.gateway.state import Call, GatewayState
+from almondgap_core.gateway.state import GatewayState
 from almondgap_core.gateway.target_limits import plan_return
 from almondgap_core.units import MICROS_PER_MILLI, millis
 from almondgap_core.verdict import Reason, Refusal, Verdict
--- a/packages/almondgap-core/almondgap_core/gateway/relayed_calls.py
+++ b/packages/almondgap-core/almondgap_core/gateway/relayed_calls.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from almondgap_core.gateway.call import Call
 from almondgap_core.gateway.calls import (
     NOT_RUN_STATUSES,
     may_retry,
@@ -23,7 +24,7 @@
 from almondgap_core.gateway.refusals import refuse_call
 from almondgap_core.gateway.relays import choose_relay, end_relay, needs_relay
 from almondgap_core.gateway.reports import RelayAnswerForwarded
-from almondgap_core.gateway.state import Call, GatewayState
+from almondgap_core.gateway.state import GatewayState
 from almondgap_core.units import MICROS_PER_MILLI, seconds
 from almondgap_core.verdict import Reason, Verdict
 
--- a/packages/almondgap-core/almondgap_core/gateway/relays.py
+++ b/packages/almondgap-core/almondgap_core/gateway/relays.py
@@ -9,15 +9,17 @@
 
 from __future__ import annotations
 
+from almondgap_core.gateway.call import Call
 from almondgap_core.gateway.effects import Relay
 from almondgap_core.gateway.fleet import list_live_peers
+from almondgap_core.gateway.peer import Peer
 from almondgap_core.gateway.placement import (
     OTHER_REGION_RTT_US,
     SAME_REGION_RTT_US,
     list_regions,
 )
 from almondgap_core.gateway.reports import RequestRelayed
-from almondgap_core.gateway.state import Call, GatewayState, Peer
+from almondgap_core.gateway.state import GatewayState
 from almondgap_core.units import MICROS_PER_MILLI, millis
 
 #: Maximum number of hosts to which one request is handed over in turn.
--- a/packages/almondgap-core/almondgap_core/gateway/state.py
+++ b/packages/almondgap-core/almondgap_core/gateway/state.py
@@ -1,20 +1,20 @@
 """The state of a gateway, which the reducer reads and updates.
 
 Holds the configuration in force, the known targets and peers, the requests in flight
-and the token buckets. Nothing here is persisted: a host that restarts learns it again
-from the store and from heartbeats.
+and the token buckets. A host that restarts learns it again from the store and from
+heartbeats.
 """
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
-
 from attrs import Factory, define, frozen
 
-from almondgap_core.gateway.configuration import Account, Configuration, Route
+from almondgap_core.gateway.call import Call, PendingTokenRequest
+from almondgap_core.gateway.configuration import Configuration
 from almondgap_core.gateway.effects import GatewayEffect, Log
 from almondgap_core.gateway.events import CallArrived
-from almondgap_core.gateway.heartbeats import Heartbeat, HostLocation
+from almondgap_core.gateway.heartbeats import HostLocation
+from almondgap_core.gateway.peer import Peer
 from almondgap_core.gateway.reports import Report
 from almondgap_core.gateway.retry_budget import RetryBudget
 from almondgap_core.gateway.store_knowledge import StoreKnowledge
@@ -28,9 +28,6 @@
 from almondgap_core.gateway.token_bucket import TokenBucket, Tolerance
 from almondgap_core.units import seconds
 
-if TYPE_CHECKING:
-    from almondgap_core.gateway.token_requests import PendingTokenRequest
-
 
 @frozen
 class Bounds:
@@ -49,100 +46,6 @@
     tolerance: Tolerance = Factory(Tolerance)
 
 
-@define
-class Call:
-    """A caller's request in progress on this host; times in microseconds.
-
-    :ivar expires_at: when it is answered at the latest, whatever its state.
-    :ivar caller_deadline: when its caller stops waiting.
-    :ivar fingerprint: identifies repetitions of the request by its client account at
-        any host, empty if unknown.
-    :ivar has_token: whether it took a token of its client account here.
-    :ivar sent_to: names of the targets to which it was sent, in order.
-    :ivar failed_connects: attempts that failed before a connection was established.
-    :ivar attempt: number of the attempt in flight, 0 if there is none.
-    :ivar may_have_run: whether an attempt may have run at a target.
-    :ivar sent_at: when the attempt in flight was sent.
-    :ivar expected_if_cached: expected latency of that attempt if the target has the
-        object in its cache.
-    :ivar sent_recently: whether this host sent the object to that target a short time
-        ago.
-    :ivar is_relayed: whether another host handed it over.
-    :ivar prior_attempts: number of targets to which that host sent it before.
-    :ivar relayed_to: hosts to which this one handed it over, in order.
-    :ivar relay_host: host that has it now, empty if none does.
-    """
-
-    number: int
-    request_id: str
-    arrived_at: int
-    expires_at: int
-    caller_deadline: int
-    route: Route
-    account: Account | None
-    service: str
-    affinity_key: str
-    fingerprint: str = ""
-    has_token: bool = False
-    sent_to: list[str] = Factory(list)
-    failed_connects: int = 0
-    attempt: int = 0
-    may_have_run: bool = False
-    sent_at: int = 0
-    expected_if_cached: int = 0
-    sent_recently: bool = False
-    is_relayed: bool = False
-    prior_attempts: int = 0
-    relayed_to: list[str] = Factory(list)
-    relay_host: str = ""
-
-    @property
-    def relays(self) -> int:
-        """Number of hosts to which it was handed over."""
-        return len(self.relayed_to)
-
-    @property
-    def account_name(self) -> str:
-        """Name of the client account, empty if there is none."""
-        return self.account.name if self.account else ""
-
-    @property
-    def target(self) -> str:
-        """Name of the target of the latest attempt, empty before the first."""
-        return self.sent_to[-1] if self.sent_to else ""
-
-
-@define
-class Peer:
-    """Another host as seen from this one; times in microseconds.
-
-    :ivar last_heard_at: when its last heartbeat arrived, None if none did yet.
-    :ivar last_sent_at: when the last heartbeat was sent to it, None to send one at
-        once.
-    :ivar unresponsive: whether its heartbeats stopped arriving.
-    :ivar stop_announced: whether it announced a planned stop, so that silence means
-        that it has ended.
-    :ivar departed: whether it no longer counts as a member: it has ended, or has been
-        silent for a long time.
-    :ivar discovered_at: when this host first learned of it.
-    :ivar relayed: requests of this host that it has now.
-    :ivar relay_backoff_until: when it may be handed requests again after it could not
-        be reached.
-    """
-
-    location: HostLocation
-    incarnation: int = 0
-    heartbeat: Heartbeat | None = None
-    last_heard_at: int | None = None
-    last_sent_at: int | None = None
-    unresponsive: bool = False
-    stop_announced: bool = False
-    departed: bool = False
-    discovered_at: int = 0
-    relayed: int = 0
-    relay_backoff_until: int = 0
-
-
 @define
 class GatewayState:
     """Everything that the decisions of a gateway are based on.
--- a/packages/almondgap-core/almondgap_core/gateway/store_views.py
+++ b/packages/almondgap-core/almondgap_core/gateway/store_views.py
@@ -25,9 +25,10 @@
 )
 from almondgap_core.gateway.fleet import list_live_peers
 from almondgap_core.gateway.heartbeats import StoreView
+from almondgap_core.gateway.peer import Peer
 from almondgap_core.gateway.ranking import compute_rank
 from almondgap_core.gateway.reports import ClaimRefuted, StoreChanged, TableBehind
-from almondgap_core.gateway.state import GatewayState, Peer
+from almondgap_core.gateway.state import GatewayState
 from almondgap_core.gateway.store_knowledge import Claimant, RowVersion
 from almondgap_core.units import MICROS_PER_MILLI, millis, seconds
 
--- a/packages/almondgap-core/almondgap_core/gateway/token_requests.py
+++ b/packages/almondgap-core/almondgap_core/gateway/token_requests.py
@@ -9,13 +9,12 @@
 
 from __future__ import annotations
 
-from attrs import define
-
 from almondgap_core.gateway.admission import refill_tokens, take_token
+from almondgap_core.gateway.call import Call, PendingTokenRequest
 from almondgap_core.gateway.effects import GrantTokens, RequestTokens, StartTokenTimer
 from almondgap_core.gateway.events import TokensGranted, TokensRequested, TokensTimedOut
 from almondgap_core.gateway.limit_shares import list_donors
-from almondgap_core.gateway.state import Call, GatewayState, Peer
+from almondgap_core.gateway.state import GatewayState
 from almondgap_core.units import millis
 from almondgap_core.verdict import Refusal
 
@@ -40,24 +39,6 @@
 REQUEST_BACKOFF_US = millis(100)
 
 
-@define
-class PendingTokenRequest:
-    """Requests of one account that wait for tokens of other hosts.
-
-    :ivar calls: waiting requests, each with its refusal if no token arrives.
-    :ivar donors: hosts to ask next.
-    :ivar asked_host: host that was asked last.
-    :ivar requested: number of tokens requested from it.
-    :ivar correlation_id: id of the token request in progress.
-    """
-
-    calls: list[tuple[Call, Refusal]]
-    donors: list[Peer]
-    asked_host: str = ""
-    requested: float = 0.0
-    correlation_id: int = 0
-
-
 def request_tokens(state: GatewayState, call: Call, refusal: Refusal, now: int) -> bool:
     """Let a request wait for tokens of other hosts.
 
