Let no single lost keep-alive probe break a connection

TCP_USER_TIMEOUT, 2 s, also decides when probes give up, whatever their count: a connection that had been silent for 2 s was reset if one probe of a second before, or its answer, was lost (computed from the users' page and the kernel's rule; the new test failed on 2 s). It is 2.5 s now, so two probes must be lost; a silent link is noticed after 3 s without bytes under way and after 2.5 s with them, both within the 3 s that are allowed.

--- a/packages/almondgap-daemon/almondgap_daemon/http/connection.py
+++ b/packages/almondgap-daemon/almondgap_daemon/http/connection.py
@@ -28,10 +28,11 @@
 
 #: TCP_USER_TIMEOUT in milliseconds: sent bytes that are not acknowledged for this long
 #: break the connection. Hosts must detect an unresponsive peer within 3 s.
-USER_TIMEOUT_MS = 2_000
+USER_TIMEOUT_MS = 2_500
 
 #: TCP keep-alive: idle time before the first probe and interval of probes, in seconds,
-#: and the number of unanswered probes that break the connection.
+#: and the number of unanswered probes that break the connection where the kernel does
+#: not go by TCP_USER_TIMEOUT.
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
--- a/tests/daemon/http/test_connection.py
+++ b/tests/daemon/http/test_connection.py
@@ -1,8 +1,16 @@
 from __future__ import annotations
 
+import socket
 from unittest import TestCase
 
-from almondgap_daemon.http.connection import ClientConnection, Request
+from almondgap_daemon.http.connection import (
+    KEEPALIVE_IDLE_S,
+    KEEPALIVE_INTERVAL_S,
+    USER_TIMEOUT_MS,
+    ClientConnection,
+    Request,
+    set_socket_timeouts,
+)
 from almondgap_daemon.http.response import (
     IncompleteResponse,
     InvalidResponse,
@@ -282,3 +290,51 @@
                         self.assertIsInstance(
                             sent.outcome, IncompleteResponse | InvalidResponse
                         )
+
+
+class SocketTimeoutTests(TestCase):
+    """Silent links: ``TCP_USER_TIMEOUT`` also decides when probes give up.
+
+    A probe follows each second without a byte. The kernel breaks the connection at the
+    first probe that is due after the time-out, if one is unanswered.
+    """
+
+    #: Time within which hosts must notice a silent link.
+    CONTACT_MS = 3_000
+
+    def test_one_lost_probe_breaks_no_connection(self):
+        second_probe_ms = (KEEPALIVE_IDLE_S + KEEPALIVE_INTERVAL_S) * 1_000
+        self.assertGreater(USER_TIMEOUT_MS, second_probe_ms)
+
+    def test_silent_link_is_noticed_in_time_with_and_without_bytes_under_way(self):
+        idle_ms, interval_ms = KEEPALIVE_IDLE_S * 1_000, KEEPALIVE_INTERVAL_S * 1_000
+        probes = range(idle_ms, 10_000, interval_ms)
+        noticed_ms = next(at for at in probes if at >= USER_TIMEOUT_MS)
+        self.assertLessEqual(noticed_ms, self.CONTACT_MS)
+        self.assertLess(USER_TIMEOUT_MS, self.CONTACT_MS)
+
+    def test_options_are_set(self):
+        with socket.create_server(("127.0.0.1", 0)) as server:
+            near = socket.create_connection(server.getsockname())
+            with near:
+                set_socket_timeouts(SocketTransport(near))
+                for level, option, value in (
+                    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+                    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
+                    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S),
+                    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS),
+                ):
+                    self.assertEqual(near.getsockopt(level, option), value)
+
+
+class SocketTransport:
+    """A transport around a socket, as far as time-outs are concerned."""
+
+    def __init__(self, sock: socket.socket) -> None:
+        self.sock = sock
+
+    def setTcpNoDelay(self, enabled: bool) -> None:  # noqa: N802
+        self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, enabled)
+
+    def getHandle(self) -> socket.socket:  # noqa: N802
+        return self.sock
