--- a/packages/almondgap-core/almondgap_core/gateway/events.py
+++ b/packages/almondgap-core/almondgap_core/gateway/events.py
@@ -78,6 +78,9 @@
         not.
     :ivar rate_limit: requests per second that the target takes from all hosts together,
         infinity if it advertised no limit, None if unknown.
+    :ivar leaving: whether the target says that it leaves.
+    :ivar retry_after: time for which the target wants no requests of this host, None if
+        it does not say.
     """
 
     call: int
@@ -88,6 +91,8 @@
     sealed: bool
     load: tuple[int, int] | None = None
     rate_limit: float | None = None
+    leaving: bool = False
+    retry_after: int | None = None
 
 
 @frozen
@@ -135,12 +140,17 @@
     :ivar warmup_left: remaining time of its warm-up.
     :ivar rate_limit: requests per second that it takes from all hosts together, None if
         it advertised no limit.
+    :ivar leaving: whether the target says that it leaves.
+    :ivar retry_after: time for which the target wants no requests of this host, None if
+        it does not say.
     """
 
     target: str
     healthy: bool
     warmup_left: int = 0
     rate_limit: float | None = None
+    leaving: bool = False
+    retry_after: int | None = None
 
 
 @frozen
--- a/packages/almondgap-daemon/almondgap_daemon/gateway/target_client.py
+++ b/packages/almondgap-daemon/almondgap_daemon/gateway/target_client.py
@@ -201,7 +201,14 @@
         rate = names.parse_rate_limit(response.headers) if is_target else None
         # A health check without the header does not say that a limit has ended.
         limit = None if rate == inf else rate
-        self.feed(ProbeEnded(self.now(), probe.target, healthy, warm_up_left, limit))
+        leaving = is_target and names.parse_leaving(response.headers)
+        retry_after = names.parse_retry_after(response.status, response.headers)
+        fields = (healthy, warm_up_left, limit, leaving)
+        self.feed(
+            ProbeEnded(
+                self.now(), probe.target, *fields, retry_after if is_target else None
+            )
+        )
 
     @inlineCallbacks
     def check_connection(self, check: CheckConnection):
@@ -251,15 +258,18 @@
 
 
 def _build_answer_event(now: int, send: Send, response: Response) -> TargetAnswered:
-    misdirected = response.status == names.MISDIRECTED_STATUS
+    headers, status = response.headers, response.status
+    misdirected = status == names.MISDIRECTED_STATUS
     return TargetAnswered(
         now,
         send.call,
         send.attempt,
-        response.status,
+        status,
         not_executed=response.get(names.NOT_EXECUTED) is not None,
         misdirected=misdirected,
         sealed=response.get(names.SEAL) is not None,
-        load=names.parse_load(response.headers),
-        rate_limit=None if misdirected else names.parse_rate_limit(response.headers),
+        load=names.parse_load(headers),
+        rate_limit=None if misdirected else names.parse_rate_limit(headers),
+        leaving=not misdirected and names.parse_leaving(headers),
+        retry_after=names.parse_retry_after(status, headers),
     )
--- a/packages/almondgap-daemon/almondgap_daemon/platform/headers.py
+++ b/packages/almondgap-daemon/almondgap_daemon/platform/headers.py
@@ -7,6 +7,7 @@
 
 from attrs import frozen
 
+from almondgap_core.units import seconds
 from almondgap_core.verdict import Reason
 from almondgap_daemon.http.response import (
     RawHeaders,
@@ -33,9 +34,14 @@
 TARGET = b"x-almondgap-instance-id"
 WARM_UP_LEFT = b"x-almondgap-cold-ms"
 RATE_LIMIT = b"server-limit"
+LEAVING = b"server-leaving"
+RETRY_AFTER = b"retry-after"
 
 MISDIRECTED_STATUS = 421
 
+#: Status with which a target turns a request away.
+UNAVAILABLE_STATUS = 503
+
 #: Time-out of requests without a valid deadline header, in milliseconds.
 DEFAULT_TIMEOUT_MS = 30_000
 
@@ -51,6 +57,12 @@
 #: Number of earlier attempts and version of the configuration.
 _RELAYED = re.compile(rb"(\d{1,3}) (\d{1,20})")
 
+#: Upper bound of the time for which a target may ask for no requests, in seconds.
+MAX_RETRY_AFTER_S = 86_400.0
+
+#: A decimal number of seconds.
+_SECONDS = re.compile(rb"\d{1,9}(\.\d{0,9})?|\.\d{1,9}")
+
 #: A decimal number of requests per second.
 _RATE = re.compile(rb"\d{1,15}(\.\d{0,15})?|\.\d{1,15}")
 
@@ -188,6 +200,22 @@
     return float(value) if _RATE.fullmatch(value) else None
 
 
+def parse_leaving(headers: RawHeaders) -> bool:
+    """Return whether a target says that it leaves."""
+    return (find_header(headers, LEAVING) or b"").strip() == b"1"
+
+
+def parse_retry_after(status: int, headers: RawHeaders) -> int | None:
+    """Return for how long a target that turned a request away wants no others.
+
+    :return: microseconds, None if it does not say or the value is no decimal number.
+    """
+    value = (find_header(headers, RETRY_AFTER) or b"").strip()
+    if status != UNAVAILABLE_STATUS or not _SECONDS.fullmatch(value):
+        return None
+    return seconds(min(float(value), MAX_RETRY_AFTER_S))
+
+
 def parse_warm_up_left(headers: RawHeaders) -> int:
     """Return the remaining warm-up time of a target in microseconds, 0 if invalid."""
     value = (find_header(headers, WARM_UP_LEFT) or b"").strip()
--- a/packages/almondgap-testkit/almondgap_testkit/gateways/simulation.py
+++ b/packages/almondgap-testkit/almondgap_testkit/gateways/simulation.py
@@ -107,6 +107,10 @@
         ``failing`` (answers 500), ``shedding`` (answers that it did not run).
     :ivar rate_limit: requests per second that it advertises, infinity for
         none, None for a malformed value.
+    :ivar leaving: whether it says in its answers that it leaves.
+    :ivar rejects_until: until when it turns requests away, and says so.
+    :ivar told: when hosts received what it says of itself, each with the host and the
+        time until which it wants no requests, None if it leaves.
     :ivar arrivals: times of all requests that reached it, each with its host.
     :ivar runs: request ids that it started to process, with the time.
     :ivar contents: times, contents and hosts of the requests that reached it.
@@ -121,6 +125,9 @@
     miss_cost: float = CACHE_MISS_COST
     mode: str = "well"
     rate_limit: float | None = inf
+    leaving: bool = False
+    rejects_until: int = 0
+    told: list[tuple[int, str, int | None]] = Factory(list)
     running: int = 0
     waiting: deque = Factory(deque)
     cached: dict[str, int] = Factory(dict)
@@ -168,6 +175,7 @@
 class ModelHost:
     """A gateway in the simulation.
 
+    :ivar frozen_until: until when it stands still; events wait.
     :ivar open: requests without an answer, by number.
     :ivar attempts: attempts in flight, by request and attempt number.
     :ivar origins: hosts that handed requests over to this one, by request.
@@ -176,6 +184,7 @@
 
     state: GatewayState
     alive: bool = True
+    frozen_until: int = 0
     open: dict[int, CallArrived] = Factory(dict)
     attempts: dict[tuple[int, int], Send] = Factory(dict)
     origins: dict[int, tuple[ModelHost, Relay]] = Factory(dict)
@@ -244,6 +253,13 @@
         """Feed a host the withdrawal of a target's announcement."""
         self._feed(host, TargetWithdrawn, name)
 
+    def freeze_host(self, name: str, duration: int) -> None:
+        """Let a host stand still; what reaches it waits.
+
+        :param duration: microseconds.
+        """
+        self.hosts[name].frozen_until = self.clock.now + duration
+
     def kill_host(self, name: str) -> None:
         """Kill a host with its state; its callers get no answer."""
         self.hosts[name].alive = False
@@ -276,7 +292,7 @@
         if model.alive:
             model.open[self._last_number] = event
             self._number_by_request_id[request_id] = self._last_number
-            self._perform(model, step(model.state, event))
+            self._step(model, event)
         return request_id
 
     def disconnect_caller(self, host: str, request_id: str) -> None:
@@ -367,11 +383,18 @@
     def _tick(self, host: ModelHost) -> None:
         if host.alive:
             self._feed(host, Ticked)
-            self.clock.call_later(TICK_US, lambda: self._tick(host))
+            next_at = max(self.clock.now + TICK_US, host.frozen_until)
+            self.clock.call_at(next_at, lambda: self._tick(host))
 
     def _feed(self, host: ModelHost, kind: type[GatewayEvent], *args, **fields) -> None:
-        if host.alive:
-            self._perform(host, step(host.state, kind(self.clock.now, *args, **fields)))
+        self._step(host, kind(self.clock.now, *args, **fields))
+
+    def _step(self, host: ModelHost, event: GatewayEvent) -> None:
+        if host.frozen_until > self.clock.now:
+            self.clock.call_at(host.frozen_until, lambda: self._step(host, event))
+        elif host.alive:
+            event = evolve(event, now=self.clock.now)
+            self._perform(host, step(host.state, event))
 
     def _perform(self, host: ModelHost, effects) -> None:
         for effect in effects:
@@ -516,11 +539,15 @@
         target = self.targets[effect.target]
         is_partitioned = host.state.location.host in self.partitioned
         healthy = target.mode in ("well", "failing") and not is_partitioned
+        healthy = healthy and self.clock.now >= target.rejects_until
+        leaving = target.leaving and not is_partitioned
         if not is_partitioned:
             target.arrivals.append((self.clock.now, host.state.location.host))
         self.clock.call_later(
             2 * ONE_WAY_DELAY_US,
-            lambda: self._feed(host, ProbeEnded, effect.target, healthy),
+            lambda: self._feed(
+                host, ProbeEnded, effect.target, healthy, leaving=leaving
+            ),
         )
 
     def _relay(self, host: ModelHost, relay: Relay) -> None:
@@ -547,7 +574,7 @@
 
         def arrive() -> None:
             peer.open[number] = evolve(relayed, now=self.clock.now)
-            self._perform(peer, step(peer.state, peer.open[number]))
+            self._step(peer, peer.open[number])
 
         self.clock.call_later(ONE_WAY_DELAY_US, arrive)
 
@@ -599,7 +626,11 @@
         target.arrivals.append((self.clock.now, host.state.location.host))
         name = host.state.location.host
         target.contents.append((self.clock.now, event.content, name))
-        if target.mode == "shedding" or len(target.waiting) >= target.queue_length:
+        if (
+            target.mode == "shedding"
+            or self.clock.now < target.rejects_until
+            or len(target.waiting) >= target.queue_length
+        ):
             self._answer(host, send, target, 503, not_executed=True)
         elif target.running < slots:
             self._serve(host, send, target, event)
@@ -646,7 +677,16 @@
     ) -> None:
         load = (target.running, len(target.waiting))
         sealed = not not_executed
-        fields = (status, not_executed, False, sealed, load, target.rate_limit)
+        told_at = self.clock.now + ONE_WAY_DELAY_US
+        name = host.state.location.host
+        left = target.rejects_until - self.clock.now
+        retry_after = left if not_executed and left > 0 else None
+        if target.leaving:
+            target.told.append((told_at, name, None))
+        if retry_after is not None:
+            target.told.append((told_at, name, told_at + retry_after))
+        notice = (target.rate_limit, target.leaving, retry_after)
+        fields = (status, not_executed, False, sealed, load, *notice)
         self._deliver_result(host, send, TargetAnswered, *fields)
 
     def _fail_attempt(self, host: ModelHost, send: Send, *failure) -> None:
--- a/tests/daemon/platform/test_headers.py
+++ b/tests/daemon/platform/test_headers.py
@@ -11,9 +11,11 @@
     make_request_headers,
     make_response_headers,
     parse_caller_headers,
+    parse_leaving,
     parse_load,
     parse_rate_limit,
     parse_reason,
+    parse_retry_after,
     parse_warm_up_left,
 )
 
@@ -52,6 +54,43 @@
         self.assertEqual(parsed.key, "")
 
 
+class NoticeTests(TestCase):
+    """What targets say of themselves in their answers."""
+
+    def test_only_one_says_that_a_target_leaves(self):
+        self.assertTrue(parse_leaving([(b"Server-Leaving", b" 1 ")]))
+        for value in (b"", b"0", b"2", b"01", b"yes", b"1" * 500):
+            self.assertFalse(parse_leaving([(b"Server-Leaving", value)]), value)
+        self.assertFalse(parse_leaving([]))
+
+    def test_first_of_two_headers_counts(self):
+        twice = [(b"Server-Leaving", b"0"), (b"Server-Leaving", b"1")]
+        self.assertFalse(parse_leaving(twice))
+        twice = [(b"Retry-After", b"2"), (b"Retry-After", b"9")]
+        self.assertEqual(parse_retry_after(503, twice), seconds(2))
+
+    def test_decimal_numbers_are_delays(self):
+        for value, delay in (
+            (b"0", 0),
+            (b"0.3", millis(300)),
+            (b" 20 ", seconds(20)),
+            (b"3600", seconds(3_600)),
+            (b"999999999", seconds(86_400)),
+        ):
+            self.assertEqual(parse_retry_after(503, [(b"Retry-After", value)]), delay)
+
+    def test_other_values_say_nothing(self):
+        date = b"Fri, 31 Dec 1999 23:59:59 GMT"
+        for value in (b"", date, b"-1", b"1e9", b"nan", b"+1", b"1,5", b"9" * 400):
+            headers = [(b"Retry-After", value)]
+            self.assertIsNone(parse_retry_after(503, headers), value)
+        self.assertIsNone(parse_retry_after(503, []))
+
+    def test_delay_counts_only_if_a_request_was_turned_away(self):
+        for status in (200, 429, 500, 502):
+            self.assertIsNone(parse_retry_after(status, [(b"Retry-After", b"5")]))
+
+
 class RelayTests(TestCase):
     def test_attempts_and_version_reach_the_other_host(self):
         sent = make_relay_headers(CALLER, 2, 2**40, millis(1_234), 3)
