Send nothing to targets that say that they leave, or want a pause

What callers saw: requests went on to targets that had said in their answers that they leave, or that they want nothing for some seconds (the failing test: up to 29 of one host to a target that leaves); each of these is a rejection and a retry, or a request cut off at its end. Cause: no code read either header. Both now hold at once for the host that was told, for the run of the target that said it, whatever the store lists and through outages of the store. One module, eligibility.py, says whether this host may send to a target and why not (leaving, draining, evacuated, down, paused, rejecting, limited, warming up); placement, health checks and the check of reachability use it, and refusals name the reasons. Callers that find only paused targets are told when the first of them takes requests again. After a pause a host returns with its part of the slots for a second.

--- a/packages/almondgap-core/almondgap_core/gateway/events.py
+++ b/packages/almondgap-core/almondgap_core/gateway/events.py
@@ -101,6 +101,8 @@
 
     :ivar sealed: whether the answer carries the seal that only targets set.
     :ivar reason: why that host refused the request, None if it does not say.
+    :ivar leaving_target: target that answered there and says that it leaves, else
+        empty.
     """
 
     call: int
@@ -108,6 +110,7 @@
     status: int
     sealed: bool
     reason: Reason | None = None
+    leaving_target: str = ""
 
 
 class Failure(Enum):
--- a/packages/almondgap-core/almondgap_core/gateway/health.py
+++ b/packages/almondgap-core/almondgap_core/gateway/health.py
@@ -10,6 +10,7 @@
 from almondgap_core.gateway.call import Call
 from almondgap_core.gateway.discovery import WARMUP_MARGIN_US
 from almondgap_core.gateway.effects import CloseIdleConnections, Probe
+from almondgap_core.gateway.eligibility import find_probe_obstacle
 from almondgap_core.gateway.events import (
     ConnectionChecked,
     GatewayEvent,
@@ -21,13 +22,11 @@
     CACHE_MISS_COST,
     get_failure_share,
     get_service_time,
-    is_candidate,
 )
 from almondgap_core.gateway.reports import TargetChanged
 from almondgap_core.gateway.state import GatewayState
 from almondgap_core.gateway.target import Target
 from almondgap_core.gateway.target_limits import (
-    has_limit_token,
     record_rate_limit,
     take_limit_token,
 )
@@ -126,10 +125,8 @@
     for target in state.targets.values():
         if target.down_since is None or event.now < target.next_probe_at:
             continue
-        if not is_candidate(state, target):
-            continue
         service = state.configuration.services.get(target.announcement.service)
-        if service is None or not has_limit_token(state, target, event.now):
+        if service is None or find_probe_obstacle(state, target, event.now):
             continue
         take_limit_token(state, target, event.now)
         interval = min(
--- a/packages/almondgap-core/almondgap_core/gateway/placement.py
+++ b/packages/almondgap-core/almondgap_core/gateway/placement.py
@@ -15,6 +15,7 @@
 from attrs import frozen
 
 from almondgap_core.gateway.call import Call
+from almondgap_core.gateway.eligibility import is_candidate, is_usable
 from almondgap_core.gateway.quarantine import list_suspected_targets
 from almondgap_core.gateway.ranking import compute_score
 from almondgap_core.gateway.region_plan import plan_shares
@@ -26,8 +27,6 @@
     FailureShare,
     Target,
 )
-from almondgap_core.gateway.target_limits import has_limit_token
-from almondgap_core.gateway.warmup import is_warming_up, may_send_warmup
 from almondgap_core.units import millis
 
 #: Service time of a cache miss relative to a hit.
@@ -86,7 +85,7 @@
 def choose_target(state: GatewayState, call: Call, now: int) -> Choice | None:
     """Return the target with the lowest cost, None if no target can be used."""
     affinity_key = call.affinity_key if call.route.sticky else ""
-    ranked = _rank_targets(state, call, affinity_key)
+    ranked = list_candidates(state, call)
     candidates = _pick_candidates(state, call, ranked, affinity_key, now)
     usable = [entry for entry in candidates if is_usable(state, entry[1], now)]
     suspected = list_suspected_targets(state, call)
@@ -105,29 +104,17 @@
     return min(choices, key=lambda choice: choice.cost, default=None)
 
 
-def is_usable(state: GatewayState, target: Target, now: int) -> bool:
-    """Return whether a target may receive a request now."""
-    if target.down_since is not None or now < target.backoff_until:
-        return False
-    if not has_limit_token(state, target, now):
-        return False
-    return not is_warming_up(target, now) or may_send_warmup(state, target, now)
-
-
 def list_limited_targets(state: GatewayState, call: Call) -> list[Target]:
     """Return the targets that are up, or none unless all of them limit their rate."""
-    affinity_key = call.affinity_key if call.route.sticky else ""
-    ranked = _rank_targets(state, call, affinity_key)
-    up = [target for target in ranked if target.down_since is None]
+    up = [
+        target for target in list_candidates(state, call) if target.down_since is None
+    ]
     return up if all(target.limit.in_force for target in up) else []
 
 
-def is_candidate(state: GatewayState, target: Target) -> bool:
-    """Return whether a target is in service at all, healthy or not."""
-    announcement = target.announcement
-    return (
-        not announcement.draining and announcement.failure_domain not in state.evacuated
-    )
+def list_candidates(state: GatewayState, call: Call) -> list[Target]:
+    """Return the targets in service that may serve a request, healthy or not."""
+    return _rank_targets(state, call, call.affinity_key if call.route.sticky else "")
 
 
 def get_service_time(state: GatewayState, route) -> DecayingAverage:
--- a/packages/almondgap-core/almondgap_core/gateway/reachability.py
+++ b/packages/almondgap-core/almondgap_core/gateway/reachability.py
@@ -12,6 +12,7 @@
 from __future__ import annotations
 
 from almondgap_core.gateway.effects import CheckConnection
+from almondgap_core.gateway.eligibility import is_candidate
 from almondgap_core.gateway.events import (
     ConnectionChecked,
     GatewayEvent,
@@ -171,7 +172,7 @@
     known = [
         target
         for target in state.targets.values()
-        if target.name not in state.checking and not target.announcement.draining
+        if target.name not in state.checking and is_candidate(state, target)
     ]
     candidates = known
     if state.partitioned_since is None:
--- a/packages/almondgap-core/almondgap_core/gateway/refusals.py
+++ b/packages/almondgap-core/almondgap_core/gateway/refusals.py
@@ -8,10 +8,18 @@
 
 from __future__ import annotations
 
+from collections import Counter
+
 from almondgap_core.gateway.call import Call
 from almondgap_core.gateway.effects import Refuse
+from almondgap_core.gateway.eligibility import Obstacle, find_obstacle
 from almondgap_core.gateway.events import CallArrived
-from almondgap_core.gateway.placement import get_service_time, list_limited_targets
+from almondgap_core.gateway.notices import find_next_return
+from almondgap_core.gateway.placement import (
+    get_service_time,
+    list_candidates,
+    list_limited_targets,
+)
 from almondgap_core.gateway.reports import RequestRefused
 from almondgap_core.gateway.state import GatewayState
 from almondgap_core.gateway.target_limits import plan_return
@@ -56,8 +64,15 @@
         detail = f"rate limits of {len(limited)} targets leave no room"
         refuse_call(state, call, now, 503, Reason.NO_CAPACITY, detail, retry_after)
         return
-    detail = "no usable target for the service"
-    refuse_call(state, call, now, 503, Reason.NO_TARGET, detail)
+    candidates = list_candidates(state, call)
+    counts = Counter(find_obstacle(state, target, now) for target in candidates)
+    causes = [f"{count} {cause.value}" for cause, count in counts.items() if cause]
+    detail = f"no usable target for the service: {', '.join(causes) or 'none listed'}"
+    returns_at = find_next_return(state, candidates, now)
+    retry_after = None
+    if returns_at and counts[Obstacle.PAUSED]:
+        retry_after = returns_at - now + _draw_delay(state, RETRY_AFTER_US)
+    refuse_call(state, call, now, 503, Reason.NO_TARGET, detail, retry_after)
 
 
 def plan_retry(state: GatewayState, call: Call, now: int) -> int:
--- a/packages/almondgap-core/almondgap_core/gateway/reports.py
+++ b/packages/almondgap-core/almondgap_core/gateway/reports.py
@@ -184,6 +184,18 @@
     source: str
 
 
+@frozen
+class TargetPaused(Report):
+    """A target that turned a request away wants none of this host for some time.
+
+    :ivar pause_ms: that time, which this host keeps.
+    """
+
+    target: str
+    service: str
+    pause_ms: int
+
+
 @frozen
 class TargetCrashed(Report):
     """A target broke off requests and refuses connections.
--- a/packages/almondgap-core/almondgap_core/gateway/state.py
+++ b/packages/almondgap-core/almondgap_core/gateway/state.py
@@ -24,6 +24,7 @@
     DecayingAverage,
     FailureShare,
     Target,
+    TargetNotice,
 )
 from almondgap_core.gateway.token_bucket import TokenBucket, Tolerance
 from almondgap_core.units import seconds
@@ -69,6 +70,7 @@
         which the order holds.
     :ivar region_weights_cache: weight of a slot in each region by service and allowed
         regions, with the epoch for which it holds.
+    :ivar notices: what targets said of themselves in answers, by name.
     :ivar missing_targets: targets that the store no longer lists, with the time at
         which they are dropped.
     :ivar departed_targets: last announcements of targets that were removed a short time
@@ -130,6 +132,7 @@
     targets_epoch: int = 0
     rank_cache: dict[tuple, tuple[int, list[Target]]] = Factory(dict)
     region_weights_cache: dict[tuple, tuple[int, dict[str, float]]] = Factory(dict)
+    notices: dict[str, TargetNotice] = Factory(dict)
     missing_targets: dict[str, int] = Factory(dict)
     departed_targets: dict[str, tuple[Announcement, int]] = Factory(dict)
     outdated_announcements: dict[str, tuple[int, int]] = Factory(dict)
--- a/packages/almondgap-core/almondgap_core/gateway/target.py
+++ b/packages/almondgap-core/almondgap_core/gateway/target.py
@@ -148,6 +148,25 @@
         return self.rate != inf
 
 
+@define
+class TargetNotice:
+    """What a run of a target said of itself in answers; times in microseconds.
+
+    :ivar seen_at: when the target was last known to this host.
+    :ivar leaving: whether it leaves.
+    :ivar paused_until: until when it wants no requests of this host.
+    """
+
+    incarnation: int
+    seen_at: int
+    leaving: bool = False
+    paused_until: int = 0
+
+    def applies_to(self, target: Target) -> bool:
+        """Return whether it was said by the target's present run."""
+        return self.incarnation == target.announcement.incarnation
+
+
 @define
 class Target:
     """A target and what this host has observed of it; times in microseconds.
--- a/packages/almondgap-daemon/almondgap_daemon/gateway/runtime.py
+++ b/packages/almondgap-daemon/almondgap_daemon/gateway/runtime.py
@@ -62,12 +62,15 @@
 )
 from almondgap_daemon.gateway.metrics import GatewayMetrics
 from almondgap_daemon.gateway.target_client import Attempt, TargetClient
-from almondgap_daemon.http.response import Response
+from almondgap_daemon.http.response import Response, find_header
 from almondgap_daemon.http.server import Exchange
 from almondgap_daemon.platform.headers import (
+    LEAVING_TARGET,
     REASON,
+    RELAYED,
     make_response_headers,
     parse_caller_headers,
+    parse_leaving,
 )
 
 #: Interval of the reducer's ticks, in seconds: a quarter of the heartbeat interval.
@@ -266,6 +269,10 @@
         has_no_body = exchange.method == b"HEAD" or response.status in NO_BODY_STATUSES
         length = None if has_no_body else len(response.body)
         headers = make_response_headers(response.headers, length)
+        target = getattr(pending.attempt.send, "target", "")
+        is_relayed = find_header(exchange.headers, RELAYED) is not None
+        if is_relayed and target and parse_leaving(response.headers):
+            headers.append((LEAVING_TARGET, target.encode()))
         exchange.respond(
             response.status,
             response.reason,
--- a/packages/almondgap-daemon/almondgap_daemon/gateway/target_client.py
+++ b/packages/almondgap-daemon/almondgap_daemon/gateway/target_client.py
@@ -135,8 +135,9 @@
             on_response(response)
             sealed = response.get(names.SEAL) is not None
             reason = names.parse_reason(response.headers)
-            fields = (relay.call, relay.attempt, response.status, sealed, reason)
-            self.feed(RelayAnswered(self.now(), *fields))
+            leaving = names.parse_leaving_target(response.headers)
+            fields = (relay.call, relay.attempt, response.status, sealed)
+            self.feed(RelayAnswered(self.now(), *fields, reason, leaving))
 
     @inlineCallbacks
     def _exchange(
--- a/packages/almondgap-daemon/almondgap_daemon/platform/headers.py
+++ b/packages/almondgap-daemon/almondgap_daemon/platform/headers.py
@@ -25,6 +25,10 @@
 #: was sent before and the version of that host's configuration.
 RELAYED = b"almondgap-relayed"
 
+#: Set on an answer to a request that another host handed over, with the name of the
+#: target if that target says that it leaves.
+LEAVING_TARGET = b"almondgap-leaving-target"
+
 #: Set on a host's own answers, with the reason why it refused a request.
 REASON = b"almondgap-reason"
 
@@ -168,7 +172,7 @@
     :param headers: headers of the target's response.
     :param body_bytes: length of the body, None to keep the target's Content-Length.
     """
-    dropped = list_connection_headers(headers)
+    dropped = list_connection_headers(headers) | {LEAVING_TARGET, REASON}
     forwarded = [
         (name, value)
         for name, value in headers
@@ -200,6 +204,11 @@
     return float(value) if _RATE.fullmatch(value) else None
 
 
+def parse_leaving_target(headers: RawHeaders) -> str:
+    """Return the target of another host's answer if it leaves, else nothing."""
+    return _decode_value(find_header(headers, LEAVING_TARGET))
+
+
 def parse_leaving(headers: RawHeaders) -> bool:
     """Return whether a target says that it leaves."""
     return (find_header(headers, LEAVING) or b"").strip() == b"1"
--- a/packages/almondgap-testkit/almondgap_testkit/bench/measure_placement.py
+++ b/packages/almondgap-testkit/almondgap_testkit/bench/measure_placement.py
@@ -8,7 +8,7 @@
 from contextlib import contextmanager
 from unittest.mock import patch
 
-from almondgap_core.gateway import calls, placement
+from almondgap_core.gateway import calls, eligibility, placement
 from almondgap_core.gateway.configuration import Account
 from almondgap_core.gateway.placement import Choice
 from almondgap_core.units import MICROS_PER_SECOND, millis, seconds
@@ -107,7 +107,7 @@
     return [
         target
         for target in placement._rank_targets(state, call, call.affinity_key)
-        if target.name not in call.sent_to and placement.is_usable(state, target, now)
+        if target.name not in call.sent_to and eligibility.is_usable(state, target, now)
     ]
 
 
--- a/tests/core/gateway/test_target_notices.py
+++ b/tests/core/gateway/test_target_notices.py
@@ -8,11 +8,31 @@
 
 import os
 import random
+from math import inf
 from unittest import TestCase
 
 from almondgap_core.gateway.configuration import Account
+from almondgap_core.gateway.effects import Deliver, Probe, Refuse, Send
+from almondgap_core.gateway.events import (
+    AttemptFailed,
+    Failure,
+    RelayAnswered,
+    StoreLost,
+    StoreRegained,
+    TargetAnnounced,
+    TargetAnswered,
+    TargetWithdrawn,
+    Ticked,
+)
+from almondgap_core.gateway.reports import TargetPaused
 from almondgap_core.units import millis, seconds
-from almondgap_testkit.gateways.builders import KEY, announce, build_configuration
+from almondgap_core.verdict import Verdict
+from almondgap_testkit.gateways.builders import (
+    KEY,
+    GatewayHarness,
+    announce,
+    build_configuration,
+)
 from almondgap_testkit.gateways.simulation import ModelTarget, Simulation
 
 DOMAINS = ("a1", "a1", "a1", "a2", "a2", "b1", "b2", "b2")
@@ -112,3 +132,142 @@
             ]
             with self.subTest(seed=seed):
                 self.assertEqual(breaches[:3], [])
+
+
+class SingleHostTests(TestCase):
+    def build(self, count: int = 1) -> GatewayHarness:
+        """Return a host with targets, of which a request went to the first."""
+        targets = tuple(announce(f"t{number}", slots=4) for number in range(count))
+        gateway = GatewayHarness.build(targets)
+        gateway.call()
+        gateway.now += millis(50)
+        return gateway
+
+    def answer(self, gateway: GatewayHarness, status: int = 200, **notice) -> None:
+        """Feed an answer to the latest request."""
+        rejected = status == 503
+        fields = (gateway.number, 1, status, rejected, False, not rejected, None, inf)
+        gateway.feed(TargetAnswered, *fields, **notice)
+
+    def test_target_that_leaves_gets_nothing_whatever_the_store_lists(self):
+        gateway = self.build()
+        self.answer(gateway, leaving=True)
+        self.assertEqual(len(gateway.find(Deliver)), 1)
+        for change in (
+            (TargetAnnounced, announce("t0", sequence=2)),
+            (TargetWithdrawn, "t0"),
+            (TargetAnnounced, announce("t0", sequence=3)),
+            (StoreLost, "down"),
+            (StoreRegained,),
+        ):
+            gateway.feed(*change)
+            gateway.now += seconds(1)
+            gateway.feed(Ticked)
+            gateway.call()
+            self.assertEqual(gateway.find(Send), [], change)
+            [refuse] = gateway.find(Refuse)
+            self.assertIs(refuse.refusal.verdict, Verdict.NOT_RUN)
+
+    def test_target_that_starts_anew_is_used(self):
+        for notice in ({"leaving": True}, {"retry_after": seconds(20)}):
+            gateway = self.build()
+            self.answer(gateway, 503, **notice)
+            gateway.feed(TargetAnnounced, announce("t0", incarnation=2_000))
+            gateway.now += millis(100)
+            gateway.call()
+            self.assertEqual(len(gateway.find(Send)), 1, notice)
+
+    def test_retry_goes_past_a_target_that_leaves(self):
+        gateway = self.build(count=2)
+        [first] = gateway.state.calls.values()
+        self.answer(gateway, 503, leaving=True)
+        [send] = gateway.find(Send)
+        self.assertNotEqual(send.target, first.sent_to[0])
+
+    def test_requests_under_way_at_a_target_that_leaves_are_finished(self):
+        gateway = self.build()
+        gateway.call()
+        self.answer(gateway, leaving=True)
+        gateway.feed(TargetAnswered, 1, 1, 200, False, False, True)
+        self.assertEqual(len(gateway.find(Deliver)), 1)
+
+    def test_health_of_a_paused_target_is_not_checked(self):
+        gateway = self.build()
+        gateway.call()
+        self.answer(gateway, 503, retry_after=seconds(5))
+        failure = (Failure.NOT_CONNECTED, Verdict.NOT_RUN)
+        gateway.feed(AttemptFailed, 1, 1, *failure)
+        self.assertIsNotNone(gateway.state.targets["t0"].down_since)
+        for _ in range(4):
+            gateway.now += seconds(1)
+            gateway.feed(Ticked)
+            self.assertEqual(gateway.find(Probe), [])
+        gateway.now += seconds(3)
+        gateway.feed(Ticked)
+        self.assertEqual(len(gateway.find(Probe)), 1)
+
+    def test_refused_caller_learns_when_the_first_target_takes_requests(self):
+        gateway = self.build(count=2)
+        self.answer(gateway, 503, retry_after=seconds(8))
+        [send] = gateway.find(Send)
+        fields = (gateway.number, send.attempt, 503, True, False, False, None, inf)
+        gateway.feed(TargetAnswered, *fields, retry_after=seconds(3))
+        delays = set()
+        for _ in range(20):
+            gateway.call()
+            [refuse] = gateway.find(Refuse)
+            self.assertIn("2 paused", refuse.refusal.detail)
+            delays.add(refuse.refusal.retry_after)
+        self.assertGreaterEqual(min(delays), seconds(3))
+        self.assertLess(max(delays), seconds(4))
+        self.assertGreater(len(delays), 10)
+
+    def test_callers_return_to_a_target_a_few_at_a_time(self):
+        gateway = self.build()
+        self.answer(gateway, 503, retry_after=seconds(2))
+        gateway.now += seconds(2.3)
+        sent = 0
+        for _ in range(8):
+            gateway.call()
+            sent += len(gateway.find(Send))
+        self.assertLessEqual(sent, 4)
+        self.assertGreater(sent, 0)
+
+    def test_shorter_wish_ends_no_longer_one(self):
+        gateway = self.build()
+        gateway.call()
+        self.answer(gateway, 503, retry_after=seconds(9))
+        gateway.feed(
+            TargetAnswered, 1, 1, 503, True, False, False, retry_after=seconds(1)
+        )
+        gateway.now += seconds(6)
+        gateway.call()
+        self.assertEqual(gateway.find(Send), [])
+
+    def test_pause_of_an_hour_is_reported(self):
+        gateway = self.build()
+        self.answer(gateway, 503, retry_after=seconds(3_600))
+        paused = [r for r in gateway.list_reports() if isinstance(r, TargetPaused)]
+        self.assertEqual([each.pause_ms for each in paused], [3_600_000])
+
+    def test_other_target_at_the_address_says_nothing_of_this_one(self):
+        gateway = self.build()
+        fields = (gateway.number, 1, 421, True, True, False)
+        gateway.feed(TargetAnswered, *fields, leaving=True)
+        self.assertEqual(gateway.state.notices, {})
+
+    def test_answer_through_another_host_tells_that_a_target_leaves(self):
+        gateway = self.build()
+        gateway.feed(RelayAnswered, 99, 1, 200, True, None, "t0")
+        gateway.call()
+        self.assertEqual(gateway.find(Send), [])
+        gateway.feed(RelayAnswered, 99, 1, 200, True, None, "unknown")
+        self.assertEqual(list(gateway.state.notices), ["t0"])
+
+    def test_notices_of_targets_that_are_gone_are_forgotten(self):
+        gateway = self.build()
+        self.answer(gateway, leaving=True)
+        gateway.feed(TargetWithdrawn, "t0")
+        gateway.now += seconds(601)
+        gateway.feed(Ticked)
+        self.assertEqual(gateway.state.notices, {})
