Draw leaving and paused targets and a request of death in the soak

Targets that say that they leave or want a pause, and a request that crashes whatever target it reaches, with a check of each; the tests show each check failing on made-up observations.

--- a/packages/almondgap-testkit/almondgap_testkit/soak/__main__.py
+++ b/packages/almondgap-testkit/almondgap_testkit/soak/__main__.py
@@ -87,7 +87,15 @@
         caller.stopping.set()
         thread.join()
     attempts = [attempt for caller, _ in callers for attempt in caller.attempts]
-    judge = Judge(attempts, stage.read_runs(), stage.done, calm)
+    attempts += stage.deadly
+    judge = Judge(
+        attempts,
+        stage.read_runs(),
+        stage.done,
+        calm,
+        stage.read_rejections(),
+        stage.list_crashes(),
+    )
     counts = Counter(attempt.status or attempt.failure for attempt in attempts)
     print(f"seed {seed}: {len(plan)} faults, answers {dict(counts)}", flush=True)
     breaches = stage.breaches + judge.list_breaches() + _judge_processes(stage)
--- a/packages/almondgap-testkit/almondgap_testkit/soak/callers.py
+++ b/packages/almondgap-testkit/almondgap_testkit/soak/callers.py
@@ -30,6 +30,7 @@
     :ivar status: status of the answer, 0 without one.
     :ivar failure: why there was no answer.
     :ivar fresh: whether it was the first request of its connection.
+    :ivar leaving: whether the answer says that its target leaves.
     """
 
     request_id: str
@@ -44,8 +45,13 @@
     failure: str = ""
     echo: str = ""
     sealed: bool = False
+    leaving: bool = False
     body: bytes = b""
 
+    def find_target(self) -> int:
+        """Return the number of the target that answered with success."""
+        return int(self.body.split()[0].rpartition(b"-")[2])
+
 
 @define
 class Caller:
@@ -54,6 +60,7 @@
     :ivar addresses: addresses of the hosts.
     :ivar key: key that it sends.
     :ivar pause_s: pause between two requests.
+    :ivar path: path of all its requests, empty to draw them.
     """
 
     name: str
@@ -62,6 +69,7 @@
     start: float
     chance: random.Random
     pause_s: float = PAUSE_S
+    path: str = ""
     attempts: list[Attempt] = Factory(list)
     stopping: threading.Event = Factory(threading.Event)
     _host: int = 0
@@ -73,13 +81,13 @@
         while not self.stopping.is_set():
             self.send()
             self.stopping.wait(self.pause_s * self.chance.uniform(0.5, 1.5))
-        self._close()
+        self.close()
 
     def send(self) -> None:
         """Send one request and note what comes back."""
-        idempotent = self.chance.random() < 0.5
+        idempotent = self.chance.random() < 0.5 or bool(self.path)
         path = "/reads/" if idempotent else "/orders/"
-        path += str(self.chance.randrange(20))
+        path = self.path or path + str(self.chance.randrange(20))
         fresh = self._conn is None
         if fresh:
             self._host = self.chance.randrange(len(self.addresses))
@@ -103,7 +111,7 @@
             self._exchange(attempt)
         except (OSError, http.client.HTTPException) as exc:
             attempt.failure = type(exc).__name__
-            self._close()
+            self.close()
         attempt.ended = time.monotonic() - self.start
 
     def _exchange(self, attempt: Attempt) -> None:
@@ -121,12 +129,14 @@
         attempt.body = response.read()
         attempt.echo = response.getheader("X-Almondgap-Request-Attempt-Id", "")
         attempt.sealed = response.getheader("X-Almondgap-Response-Seal") is not None
+        attempt.leaving = response.getheader("Server-Leaving") == "1"
         attempt.status = response.status
         self._used += 1
         if response.will_close or self._used >= MOST_ON_CONNECTION:
-            self._close()
+            self.close()
 
-    def _close(self) -> None:
+    def close(self) -> None:
+        """Close the connection; the next request opens another."""
         if self._conn is not None:
             self._conn.close()
         self._conn = None
--- a/packages/almondgap-testkit/almondgap_testkit/soak/judging.py
+++ b/packages/almondgap-testkit/almondgap_testkit/soak/judging.py
@@ -5,7 +5,7 @@
 from bisect import bisect_left, bisect_right
 from collections.abc import Iterator
 
-from attrs import define
+from attrs import Factory, define
 
 from almondgap_testkit.soak.callers import Attempt
 from almondgap_testkit.soak.plan import HOST_FAULTS, TARGET_FAULTS, Fault
@@ -16,7 +16,9 @@
     SMALL_BURST,
     SMALL_KEY,
     SMALL_RATE,
+    Runs,
 )
+from almondgap_testkit.standins.workers import PAUSE_S
 
 #: Answers that promise that a request did not run and never will.
 NOT_RUN = frozenset({408, 421, 429, 503})
@@ -38,20 +40,28 @@
 #: other programs, in seconds; its processor time has a test of its own.
 START_S = 5.0
 
+#: Time after which a leaving target gets nothing from a host that it told, in seconds;
+#: time in which requests are under way to a target that wants a pause, in seconds, and
+#: requests that it may get until the end.
+LEAVE_S, UNDER_WAY_S, PAUSE_SENDS = 2.0, 0.5, 2
+
+#: Requests of death that may reach targets long after the third crash.
+LATE_SENDS = 3
+
 #: Most targets to which a request may be sent that may run more than once.
 MOST_ATTEMPTS = 2
 
 #: Part of the requests of the last calm seconds that must be served.
 CALM_PART = 0.95
 
-Runs = dict[str, list[tuple[float, int]]]
-
 
 @define
 class Judge:
     """What happened in a soak.
 
     :ivar runs: when and at which target each request ran.
+    :ivar rejections: when and which targets in a pause turned each request away.
+    :ivar crashes: when requests of death reached targets, with their ids.
     :ivar calm: since when everything should be served again.
     """
 
@@ -59,6 +69,8 @@
     runs: Runs
     faults: list[Fault]
     calm: float
+    rejections: Runs = Factory(dict)
+    crashes: list[tuple[float, str]] = Factory(list)
 
     def list_breaches(self) -> list[str]:
         """Return every broken promise, in words."""
@@ -68,6 +80,9 @@
         breaches += self._judge_targets()
         breaches += self._judge_limit()
         breaches += self._judge_advertised_limits()
+        breaches += self._judge_leaving()
+        breaches += self._judge_pauses()
+        breaches += self._judge_crashes()
         breaches += self._judge_recovery()
         return breaches
 
@@ -189,6 +204,67 @@
                     yield f"{fault}: {count} ran in 4 s from {at:.2f} s"
                     break
 
+    def _judge_leaving(self) -> Iterator[str]:
+        """Yield requests to targets that had told the host that they leave."""
+        hosts = {attempt.request_id: attempt for attempt in self.attempts}
+        for fault in self.faults:
+            if fault.kind != "leaving":
+                continue
+            told: dict[int, float] = {}
+            for attempt in self.attempts:
+                is_there = attempt.leaving and attempt.find_target() == fault.place
+                if is_there and fault.at <= attempt.ended <= fault.end:
+                    known = told.get(attempt.host, attempt.ended)
+                    told[attempt.host] = min(known, attempt.ended)
+            for request_id, runs in self.runs.items():
+                attempt = hosts.get(request_id)
+                for at, target in runs:
+                    if attempt is None or target != fault.place or at > fault.end:
+                        continue
+                    known = told.get(attempt.host, attempt.began)
+                    if known + LEAVE_S < attempt.began and self._ran_on(
+                        attempt.host, known, at
+                    ):
+                        yield f"{request_id}: ran at {at:.2f} s in spite of {fault}"
+
+    def _judge_pauses(self) -> Iterator[str]:
+        """Yield hosts that sent to a target that wanted nothing."""
+        hosts = {attempt.request_id: attempt.host for attempt in self.attempts}
+        sends: dict[tuple[int, int], list[float]] = {}
+        told: list[tuple[float, int, int]] = []
+        for record in (self.runs, self.rejections):
+            for request_id, entries in record.items():
+                for at, target in entries:
+                    host = hosts.get(request_id, -1)
+                    sends.setdefault((host, target), []).append(at)
+                    if record is self.rejections:
+                        told.append((at, host, target))
+        for at, host, target in told:
+            begin, end = at + UNDER_WAY_S, at + PAUSE_S
+            count = sum(begin < sent < end for sent in sends[host, target])
+            if count > PAUSE_SENDS and self._ran_on(host, at, end):
+                yield f"h{host + 1}: {count} requests in a pause of target {target}"
+
+    def _judge_crashes(self) -> Iterator[str]:
+        """Yield requests of death that reached targets long after the third crash."""
+        hosts = {attempt.request_id: attempt.host for attempt in self.attempts}
+        if len(self.crashes) < 3:
+            return
+        since = self.crashes[2][0] + CONTACT_S
+        late = [
+            (round(at, 2), f"h{hosts[request_id] + 1}")
+            for at, request_id in self.crashes
+            if at > since
+            and request_id in hosts
+            and not self._find(HOST_FAULTS, hosts[request_id], at, at, CONTACT_S)
+        ]
+        if len(late) > LATE_SENDS:
+            yield f"request of death reached targets later: {late}"
+
+    def _ran_on(self, host: int, begin: float, end: float) -> bool:
+        """Return whether a host neither stood still nor started anew."""
+        return not self._find(("freeze", "kill", "stop"), host, begin, end, START_S)
+
     def _judge_recovery(self) -> Iterator[str]:
         late = [
             attempt
--- a/packages/almondgap-testkit/almondgap_testkit/soak/links.py
+++ b/packages/almondgap-testkit/almondgap_testkit/soak/links.py
@@ -2,10 +2,15 @@
 
 from __future__ import annotations
 
+import time
+
 from attrs import Factory, define, evolve, field, frozen
 from twisted.internet.interfaces import IReactorTCP
 from twisted.internet.protocol import ClientFactory, Protocol, ServerFactory
 
+#: Time in which a server that crashed starts again, in seconds.
+RESTART_S = 2.0
+
 #: Connections that wait to be accepted.
 BACKLOG = 256
 
@@ -31,6 +36,9 @@
     """A port on loopback that leads to another one.
 
     :ivar faults: what goes wrong now; it holds for open connections too.
+    :ivar deadly: bytes of requests that crash the server, which then accepts no
+        connections for some time.
+    :ivar crashes: when that happened, each with the request's head.
     """
 
     reactor: IReactorTCP
@@ -39,6 +47,8 @@
     faults: LinkFaults = Factory(LinkFaults)
     pairs: set[Pair] = Factory(set)
     port: object = None
+    deadly: bytes = b""
+    crashes: list[tuple[float, bytes]] = Factory(list)
 
     def open(self) -> None:
         """Begin to listen."""
@@ -53,6 +63,15 @@
         if self.port is not None:
             self.port.stopListening()
 
+    def crash(self, head: bytes) -> None:
+        """Act as if the server had ended, until it has started again."""
+        self.crashes.append((time.monotonic(), head))
+        port, self.port = self.port, None
+        if port is not None:
+            # The port must be closed when the hosts try to connect once more.
+            port.stopListening().addBoth(lambda _: self.reset())
+            self.reactor.callLater(RESTART_S, self.open)
+
     def change(self, **changes) -> None:
         """Change what goes wrong."""
         self.faults = evolve(self.faults, **changes)
@@ -127,6 +146,9 @@
     def dataReceived(self, data: bytes) -> None:
         """Pass bytes on, late or never if that is what goes wrong."""
         link = self.pair.link
+        if link.deadly and self is self.pair.near and link.deadly in data:
+            link.crash(data)
+            return
         if getattr(link.faults, self.drops):
             return
         now = link.reactor.seconds()
--- a/packages/almondgap-testkit/almondgap_testkit/soak/plan.py
+++ b/packages/almondgap-testkit/almondgap_testkit/soak/plan.py
@@ -21,6 +21,8 @@
     "cutting",
     "unsealed",
     "limited",
+    "leaving",
+    "pausing",
 )
 
 #: Faults of the store.
@@ -38,6 +40,7 @@
     "withdraw target",
     "withdraw key",
     "lower rate",
+    "request of death",
 )
 
 #: Length of a fault, in seconds: shorter and longer than the bounds of 2 to 5 s within
@@ -89,7 +92,7 @@
         kind = chance.choice(kinds)
         count = hosts if kinds is HOST_FAULTS else targets
         acts = (LEAST_ACT_S, MOST_ACT_S)
-        is_long = kinds is ACTS or kind == "limited"
+        is_long = kinds is ACTS or kind in ("limited", "leaving", "pausing")
         bounds = acts if is_long else (LEAST_LENGTH_S, MOST_LENGTH_S)
         length = chance.uniform(*bounds)
         fault = Fault(at, length, kind, chance.randrange(count))
--- a/packages/almondgap-testkit/almondgap_testkit/soak/stage.py
+++ b/packages/almondgap-testkit/almondgap_testkit/soak/stage.py
@@ -4,6 +4,8 @@
 
 import copy
 import json
+import random
+import re
 import signal
 import threading
 import time
@@ -14,11 +16,13 @@
 
 from almondgap_testkit.gateways.builders import KEY
 from almondgap_testkit.gateways.site import (
+    CALLERS_PORT,
     CONFIGURATION,
     STORE_PORT,
     WORKERS_PORT,
     Site,
 )
+from almondgap_testkit.soak.callers import Attempt, Caller
 from almondgap_testkit.soak.links import Link
 from almondgap_testkit.soak.plan import Fault
 
@@ -32,6 +36,15 @@
 #: Requests per second of the small account, and when its limit is lowered.
 SMALL_RATE, LOWERED_RATE, SMALL_BURST = 10, 5, 10
 
+#: Request that crashes targets: its path, the name of its caller, and the pause between
+#: two of them, in seconds.
+DEADLY_PATH, DEADLY_CALLER, DEADLY_PAUSE_S = "/reads/deadly", "death", 0.3
+
+_REQUEST_ID = re.compile(rb"(?i)x-almondgap-request-attempt-id: *(\S+)")
+
+#: When and at which target something happened to each request.
+Runs = dict[str, list[tuple[float, int]]]
+
 #: Delay of a slow link or store, in seconds.
 DELAY_S = 0.4
 
@@ -49,6 +62,7 @@
 
     :ivar done: faults as they were done, with the times of beginning and end.
     :ivar breaches: what was seen to be wrong while faults were done.
+    :ivar deadly: requests of death as their callers saw them.
     """
 
     reactor: IReactorTCP
@@ -58,6 +72,7 @@
     start: float = 0.0
     done: list[Fault] = Factory(list)
     breaches: list[str] = Factory(list)
+    deadly: list[Attempt] = Factory(list)
     configuration: dict[str, Any] = Factory(lambda: copy.deepcopy(CONFIGURATION))
     _lock: threading.RLock = Factory(threading.RLock)
     _written: dict[str, dict[str, Any]] = Factory(dict)
@@ -86,6 +101,7 @@
 
         def lead(port: int, server: int) -> Link:
             link = Link(reactor, (near, port), (near, server))
+            link.deadly = DEADLY_PATH.encode() if port < STORE_LINK_PORT else b""
             reactor.callFromThread(link.open)
             return link
 
@@ -131,13 +147,26 @@
         ended = time.monotonic() - self.start
         self.done.append(Fault(began, ended - began, fault.kind, fault.place))
 
-    def read_runs(self) -> dict[str, list[tuple[float, int]]]:
+    def read_runs(self) -> Runs:
         """Return when and at which target each request ran; times from the start."""
-        runs: dict[str, list[tuple[float, int]]] = {}
+        return self._read_log("log")
+
+    def list_crashes(self) -> list[tuple[float, str]]:
+        """Return when requests of death reached targets, with their ids."""
+        crashes = [
+            (at - self.start, match[1].decode())
+            for link in self.targets
+            for at, head in link.crashes
+            if (match := _REQUEST_ID.search(head)) is not None
+        ]
+        return sorted(crashes)
+
+    def _read_log(self, name: str) -> Runs:
+        entries: Runs = {}
         for number in range(len(self.targets)):
-            for at, request_id in self.site.list_runs(number)["log"]:
-                runs.setdefault(request_id, []).append((at - self.start, number))
-        return runs
+            for at, request_id in self.site.list_runs(number)[name]:
+                entries.setdefault(request_id, []).append((at - self.start, number))
+        return entries
 
     def find_domain(self, target: int) -> str:
         """Return the failure domain of a target."""
@@ -216,6 +245,32 @@
     def _limited(self, target: int, length: float) -> None:
         self._misbehave(target, length, "limited")
 
+    def _leaving(self, target: int, length: float) -> None:
+        self._misbehave(target, length, "leaving")
+        self._write(self.site.list_runs(target)["row"])
+
+    def _pausing(self, target: int, length: float) -> None:
+        self._misbehave(target, length, "pausing")
+
+    def _request_of_death(self, _: int, length: float) -> None:
+        """Send a request that crashes targets to all hosts in turn."""
+        site, hosts = self.site, range(len(self.stores))
+        addresses = [site.address(f"h{n + 1}", CALLERS_PORT) for n in hosts]
+        chance = random.Random(len(self.done))
+        caller = Caller(
+            DEADLY_CALLER, addresses, SURE_KEY, self.start, chance, path=DEADLY_PATH
+        )
+        end = time.monotonic() + length
+        while time.monotonic() < end:
+            caller.send()
+            caller.close()
+            time.sleep(DEADLY_PAUSE_S)
+        self.deadly += caller.attempts
+
+    def read_rejections(self) -> Runs:
+        """Return when and which targets in a pause turned each request away."""
+        return self._read_log("rejected")
+
     def _misbehave(self, target: int, length: float, mode: str) -> None:
         self.site.set_mode(target, mode)
         time.sleep(length)
--- a/packages/almondgap-testkit/almondgap_testkit/standins/workers.py
+++ b/packages/almondgap-testkit/almondgap_testkit/standins/workers.py
@@ -23,16 +23,21 @@
 ID = "X-Almondgap-Request-Attempt-Id"
 SEAL = "X-Almondgap-Response-Seal"
 
+#: Time for which a ``pausing`` target wants no requests, in seconds.
+PAUSE_S = 2.0
+
 
 @define
 class Worker:
     """One target.
 
     :ivar mode: ``well``, ``failing``, ``shedding``, ``cutting`` (ends the connection
-        after it ran the request), ``unsealed`` or ``limited`` (takes one request a
-        second from all hosts together).
+        after it ran the request), ``unsealed``, ``limited`` (takes one request a
+        second from all hosts together), ``leaving`` (says so in its answers, and starts
+        anew after it) or ``pausing`` (turns requests away for two seconds each time).
     :ivar runs: how often each request ran, by its id.
     :ivar log: when each ran, by a clock that all processes share, in seconds.
+    :ivar rejected: when each request was turned away by a ``pausing`` target.
     :ivar seen: headers of the newest request.
     """
 
@@ -47,6 +52,7 @@
     running: int = 0
     runs: dict[str, int] = Factory(dict)
     log: list[tuple[float, str]] = Factory(list)
+    rejected: list[tuple[float, str]] = Factory(list)
     seen: dict[str, str] = Factory(dict)
     app: Klein = field(init=False)
 
@@ -82,12 +88,16 @@
 
     def set_mode(self, request):
         """Set how the target behaves."""
+        was_leaving = self.mode == "leaving"
         self.mode = json.loads(request.content.read())
+        if was_leaving:
+            self.born = time.time_ns() // 1_000_000
         return b""
 
     def show_runs(self, request):
         """Return what ran, the headers of the newest request, and the own row."""
         record = {"runs": self.runs, "log": self.log, "seen": self.seen}
+        record["rejected"] = self.rejected
         return answer_json(request, {**record, "row": self.announce()})
 
     async def serve(self, request, path: str):
@@ -98,7 +108,10 @@
         if expected not in (None, self.name):
             request.setResponseCode(421)
             return b""
-        if self.mode == "shedding":
+        if self.mode == "pausing":
+            self.rejected.append((time.monotonic(), request_id))
+            request.setHeader("Retry-After", str(PAUSE_S))
+        if self.mode in ("shedding", "pausing"):
             request.setResponseCode(503)
             request.setHeader("X-Almondgap-Not-Executed", "1")
             return b""
@@ -122,6 +135,8 @@
             return NOT_DONE_YET
         if self.mode != "unsealed":
             request.setHeader(SEAL, f"{self.name}.{request_id}")
+        if self.mode == "leaving":
+            request.setHeader("Server-Leaving", "1")
         if self.mode == "limited":
             request.setHeader("Server-Limit", "1.0")
         request.setHeader("X-Almondgap-Server-Load", f"{self.running},0,{self.slots}")
--- a/tests/testkit/test_soak.py
+++ b/tests/testkit/test_soak.py
@@ -156,7 +156,38 @@
         )
         self.assertGreater(overlaps, 50)
         kinds = {fault.kind for plan in plans for fault in plan}
-        self.assertEqual(len(kinds), 24)
+        self.assertEqual(len(kinds), 27)
+
+
+class NoticeTests(TestCase):
+    def test_request_to_a_target_that_leaves(self):
+        fault = Fault(49.0, 9.0, "leaving", 1)
+        told = build_attempt(0, ended=50.1, leaving=True)
+        late = build_attempt(1, began=52.5)
+        self.assertIn("in spite", judge([told, late], faults=[fault])[0])
+        other = build_attempt(1, began=52.5, host=1)
+        self.assertEqual(judge([told, other], faults=[fault]), [])
+        restart = Fault(51.0, 0.5, "kill", 0)
+        self.assertEqual(judge([told, late], faults=[fault, restart]), [])
+
+    def test_requests_in_a_pause(self):
+        attempts = [build_attempt(n, began=50.0 + n / 4) for n in range(8)]
+        runs = {each.request_id: [(each.began, 1)] for each in attempts[1:]}
+        rejections = {"c0-0": [(50.0, 1)]}
+        found = Judge(attempts, runs, [], 40.0, rejections).list_breaches()
+        self.assertIn("in a pause of target 1", "".join(found))
+        runs = {each.request_id: [(each.began, 2)] for each in attempts[1:]}
+        self.assertEqual(
+            Judge(attempts, runs, [], 40.0, rejections).list_breaches(), []
+        )
+
+    def test_requests_of_death_after_the_third_crash(self):
+        attempts = [build_attempt(n, began=50.0 + n * 2) for n in range(9)]
+        crashes = [(each.began, each.request_id) for each in attempts]
+        found = Judge(attempts, {}, [], 40.0, {}, crashes).list_breaches()
+        self.assertIn("request of death", found[-1])
+        found = Judge(attempts, {}, [], 40.0, {}, crashes[:7]).list_breaches()
+        self.assertEqual([each for each in found if "death" in each], [])
 
 
 class SoakTests(TestCase):
