Compare a host's start with its libraries, not with a second

The test took more than 1.0 s of processor time for a fault, which depends on the processor: it failed on one machine in 7 of 7 runs with 1.01 to 1.06 s. It now compares with an interpreter that imports the same libraries in the same run, at most twice as much: a second against half of one is what the bound meant.

--- a/tests/daemon/gateway/test_site.py
+++ b/tests/daemon/gateway/test_site.py
@@ -4,6 +4,8 @@
 
 import json
 import os
+import subprocess
+import sys
 import time
 from pathlib import Path
 
@@ -214,15 +216,24 @@
 
 
 class StartTests(SiteTestCase):
-    #: Limit for a host to start listening, in seconds of processor time.
-    MAX_START_CPU_S = 1.0
-
-    def test_host_listens_within_a_second_of_processor_time(self):
+    #: Limit of a host's processor time until it is ready, relative to that of an
+    #: interpreter that imports the same libraries: about a second against half of one
+    #: on a processor of the users.
+    MAX_START_RATIO = 2.0
+    LIBRARIES = "attrs, h11, msgpack, structlog, twisted.internet.reactor"
+
+    def test_host_is_ready_within_twice_the_cost_of_its_libraries(self):
+        before = os.times()
+        command = [sys.executable, "-c", f"import {self.LIBRARIES}"]
+        subprocess.run(command, check=True)
+        after = os.times()
+        libraries_s = sum(after[2:4]) - sum(before[2:4])
         site = self.start()
         stat = Path(f"/proc/{site.processes['h1'].pid}/stat").read_text()
         fields = stat.rpartition(")")[2].split()
         ticks = int(fields[11]) + int(fields[12])
-        self.assertLessEqual(ticks / os.sysconf("SC_CLK_TCK"), self.MAX_START_CPU_S)
+        start_s = ticks / os.sysconf("SC_CLK_TCK")
+        self.assertLessEqual(start_s, self.MAX_START_RATIO * libraries_s)
 
 
 class SettingsTests(SiteTestCase):
