Draw freezes, pauses of targets and lost failure domains in the overlapping faults

Hosts stand still for 0.3 to 4 s, targets turn requests away with a pause, and most hosts of a failure domain lose their targets at once.

--- a/tests/core/gateway/test_combined_faults.py
+++ b/tests/core/gateway/test_combined_faults.py
@@ -36,7 +36,8 @@
 class Drill:
     """A fleet under drawn faults.
 
-    :ivar disturbed: times at which hosts were killed, started or isolated, by host.
+    :ivar disturbed: times at which hosts were killed, started, frozen or isolated, by
+        host.
     :ivar cuts: partitions as host, begin and end.
     """
 
@@ -78,16 +79,18 @@
     def play(self) -> None:
         """Draw a fault every second on average, and let it end."""
         end = self.sim.clock.now + seconds(DURATION_S)
-        faults = (
-            self.kill,
-            self.kill_all,
-            self.isolate,
-            self.cut,
-            self.cut,
-            self.crash,
-        )
+        faults = {
+            self.kill: 4,
+            self.kill_all: 1,
+            self.freeze: 3,
+            self.isolate: 2,
+            self.cut: 6,
+            self.cut_domain: 1,
+            self.crash: 2,
+            self.pause: 2,
+        }
         while self.sim.clock.now < end:
-            self.rng.choices(faults, (4, 0.4, 2, 3, 3, 2))[0]()
+            self.rng.choices(list(faults), list(faults.values()))[0]()
             self.sim.run(round(self.rng.expovariate(1) * MICROS_PER_SECOND))
         self.sim.run(seconds(8))
 
@@ -115,13 +118,34 @@
         self.sim.isolated.discard(name)
         self.disturb(name)
 
-    def cut(self) -> None:
+    def freeze(self) -> None:
         name = f"h{self.rng.randrange(len(DOMAINS))}"
-        if name not in self.sim.partitioned and len(self.sim.partitioned) < 4:
+        host = self.sim.hosts[name]
+        if host.alive and host.frozen_until < self.sim.clock.now:
+            duration = seconds(self.rng.uniform(0.3, 4))
+            self.sim.freeze_host(name, duration)
+            self.disturb(name)
+            self.sim.clock.call_later(duration, lambda: self.disturb(name))
+
+    def cut(self, name: str = "") -> None:
+        name = name or f"h{self.rng.randrange(len(DOMAINS))}"
+        if name not in self.sim.partitioned:
             self.sim.partition_host(name, self.rng.choice(MANNERS))
             begun = self.sim.clock.now
             self.later(2, 9, lambda: self.heal(name, begun))
 
+    def cut_domain(self) -> None:
+        """Partition most hosts of a failure domain at once."""
+        failure_domain = self.rng.choice(DOMAINS)
+        for number, each in enumerate(DOMAINS):
+            if each == failure_domain and self.rng.random() < 0.9:
+                self.cut(f"h{number}")
+
+    def pause(self) -> None:
+        target = self.sim.targets[f"t{self.rng.randrange(TARGETS)}"]
+        length = seconds(self.rng.uniform(0.3, 10))
+        target.rejects_until = self.sim.clock.now + length
+
     def heal(self, name: str, begun: int) -> None:
         del self.sim.partitioned[name]
         self.cuts.append((name, begun, self.sim.clock.now))
