--- a/packages/almondgap-core/almondgap_core/gateway/calls.py
+++ b/packages/almondgap-core/almondgap_core/gateway/calls.py
@@ -1,4 +1,4 @@
-"""The life cycle of a caller's request: admission, placement, retry and answer.
+"""The life cycle of a caller's request: from its arrival to its answer.
 
 Decides what each event means for the request: forward the answer, retry at another
 target, or refuse. A request that may run only once is never sent again after it may
@@ -10,11 +10,18 @@
 from almondgap_core.gateway.admission import (
     check_call,
     get_token_bucket,
-    return_token,
     take_token,
 )
-from almondgap_core.gateway.attempts import record_failure, record_timeout, send_call
+from almondgap_core.gateway.attempts import record_failure, record_timeout
 from almondgap_core.gateway.call import Call
+from almondgap_core.gateway.dispatch import (
+    has_time,
+    may_retry,
+    place_call,
+    report_attempt_lost,
+    retry_call,
+    retry_or_refuse,
+)
 from almondgap_core.gateway.effects import Abandon, Cancel, Deliver, StartExpiryTimer
 from almondgap_core.gateway.events import (
     AttemptFailed,
@@ -36,35 +43,25 @@
     record_answer,
     record_misdirected,
 )
-from almondgap_core.gateway.overload import check_overload
-from almondgap_core.gateway.placement import choose_target
 from almondgap_core.gateway.quarantine import (
     check_quarantine,
     clear_call,
     confirm_crashes,
-    may_retry_suspect,
-    record_trial,
     suspect_call,
 )
 from almondgap_core.gateway.refusals import (
-    plan_retry,
     refuse_arrival,
     refuse_call,
-    refuse_unplaced,
     send_refusal,
 )
 from almondgap_core.gateway.relays import (
     choose_relay,
     end_relay,
     needs_relay,
-    relay_call,
 )
 from almondgap_core.gateway.reports import (
-    AttemptLost,
     CallerGone,
     RequestAnswered,
-    RequestRetried,
-    RetryDenied,
 )
 from almondgap_core.gateway.retry_budget import RetryBudget
 from almondgap_core.gateway.startup import hold_arrival, release_arrivals
@@ -89,9 +86,6 @@
 #: them.
 MAX_FAILED_CONNECTS = 3
 
-#: Minimum remaining time for another attempt, as a fraction of the service time.
-MIN_TIME_FRACTION = 0.8
-
 
 def handle_call_arrived(state: GatewayState, event: CallArrived) -> None:
     """Admit and place a request, or refuse it immediately."""
@@ -117,35 +111,6 @@
     _finish_waiting(state, handle_timeout(state, event), event.now)
 
 
-def place_call(state: GatewayState, call: Call, now: int) -> None:
-    """Send a request to the best target, or refuse it if it cannot be served."""
-    refusal = check_quarantine(state, call, now)
-    if refusal is not None:
-        send_refusal(state, call, now, refusal)
-        return
-    if state.partitioned_since is not None:
-        peer = choose_relay(state, call, now) if needs_relay(state, call) else None
-        if peer is not None:
-            # The other host takes the token of the client account.
-            return_token(state, call)
-            relay_call(state, call, peer, now)
-            return
-        if call.is_relayed or state.targets_silent:
-            detail = "this host reaches no target, nor another host that does"
-            refuse_call(state, call, now, 503, Reason.NO_TARGET, detail)
-            return
-    choice = choose_target(state, call, now)
-    if choice is None:
-        refuse_unplaced(state, call, now)
-        return
-    refusal = check_overload(state, call, choice, now)
-    if refusal is None:
-        record_trial(state, call, now)
-        send_call(state, call, choice, now)
-        return
-    send_refusal(state, call, now, refusal)
-
-
 def handle_target_answered(state: GatewayState, event: TargetAnswered) -> None:
     """Forward an answer, or retry elsewhere if the request did not run."""
     call = state.calls.get(event.call)
@@ -195,7 +160,7 @@
     elif event.failure is Failure.NOT_CONNECTED:
         call.sent_to.pop()
         call.failed_connects += 1
-        if call.failed_connects < MAX_FAILED_CONNECTS and _has_time(state, call, now):
+        if call.failed_connects < MAX_FAILED_CONNECTS and has_time(state, call, now):
             place_call(state, call, now)
             return
     retry_or_refuse(state, call, now, failure)
@@ -337,77 +302,12 @@
         refuse_call(state, call, now, 502, Reason.TARGET_FAILED, detail)
 
 
-def retry_or_refuse(state: GatewayState, call: Call, now: int, failure: str) -> None:
-    """Retry a request after a failed attempt if that is safe, otherwise refuse it."""
-    safe = call.route.idempotent or not call.may_have_run
-    if safe and may_retry(state, call, now):
-        retry_call(state, call, now, failure)
-        return
-    if call.may_have_run:
-        refuse_call(state, call, now, 502, Reason.TARGET_FAILED, failure)
-        return
-    retry_after = plan_retry(state, call, now)
-    refuse_call(state, call, now, 503, Reason.TARGET_FAILED, failure, retry_after)
-
-
-def may_retry(state: GatewayState, call: Call, now: int) -> bool:
-    """Take a retry from the budget and return whether a request may be retried."""
-    attempts = len(call.sent_to) + call.prior_attempts
-    if attempts >= call.route.max_attempts or not _has_time(state, call, now):
-        return False
-    if not may_retry_suspect(state, call):
-        return False
-    budget = state.retry_budgets.setdefault(call.service, RetryBudget())
-    if budget.take():
-        return True
-    left = round(budget.tokens, 2)
-    state.report(RetryDenied(call.request_id, call.service, left))
-    return False
-
-
-def retry_call(state: GatewayState, call: Call, now: int, failure: str) -> None:
-    """Place a request once more."""
-    left = round(state.retry_budgets[call.service].tokens, 2)
-    attempt = len(call.sent_to) + 1
-    state.report(RequestRetried(call.request_id, attempt, failure, left))
-    place_call(state, call, now)
-
-
-def _has_time(state: GatewayState, call: Call, now: int) -> bool:
-    service_time = state.service_times.get(call.route.name)
-    needed = service_time.read(now) * MIN_TIME_FRACTION if service_time else 0
-    return call.expires_at - now > needed
-
-
 def _credit_retry_budget(state: GatewayState, call: Call) -> None:
     budget = state.retry_budgets.setdefault(call.service, RetryBudget())
     bounds = state.bounds
     budget.record_request(bounds.retry_ratio, bounds.retry_burst, count_hosts(state))
 
 
-def report_attempt_lost(
-    state: GatewayState,
-    call: Call,
-    attempt: int,
-    failure: str,
-    verdict: Verdict,
-    now: int,
-) -> None:
-    """Log that an attempt failed."""
-    took = (now - call.sent_at) // MICROS_PER_MILLI
-    state.report(
-        AttemptLost(
-            call.request_id,
-            call.target,
-            attempt,
-            failure,
-            verdict.value,
-            took,
-            call.fingerprint,
-        )
-    )
-
-
 EVENT_HANDLERS: dict[type[GatewayEvent], object] = {
     CallArrived: handle_call_arrived,
     TargetAnswered: handle_target_answered,
--- a/packages/almondgap-core/almondgap_core/gateway/relayed_calls.py
+++ b/packages/almondgap-core/almondgap_core/gateway/relayed_calls.py
@@ -3,14 +3,13 @@
 from __future__ import annotations
 
 from almondgap_core.gateway.call import Call
-from almondgap_core.gateway.calls import (
-    NOT_RUN_STATUSES,
+from almondgap_core.gateway.calls import NOT_RUN_STATUSES, stop_attempt
+from almondgap_core.gateway.dispatch import (
     may_retry,
     place_call,
     report_attempt_lost,
     retry_call,
     retry_or_refuse,
-    stop_attempt,
 )
 from almondgap_core.gateway.effects import Deliver
 from almondgap_core.gateway.events import (
--- a/packages/almondgap-testkit/almondgap_testkit/bench/measure_placement.py
+++ b/packages/almondgap-testkit/almondgap_testkit/bench/measure_placement.py
@@ -8,7 +8,7 @@
 from contextlib import contextmanager
 from unittest.mock import patch
 
-from almondgap_core.gateway import calls, eligibility, placement
+from almondgap_core.gateway import dispatch, eligibility, placement
 from almondgap_core.gateway.configuration import Account
 from almondgap_core.gateway.placement import Choice
 from almondgap_core.units import MICROS_PER_SECOND, millis, seconds
@@ -132,8 +132,8 @@
 @contextmanager
 def _use_least_of_two():
     with (
-        patch.object(calls, "choose_target", _choose_least_of_two),
-        patch.object(calls, "check_overload", lambda *_: None),
+        patch.object(dispatch, "choose_target", _choose_least_of_two),
+        patch.object(dispatch, "check_overload", lambda *_: None),
     ):
         yield
 
@@ -141,8 +141,8 @@
 @contextmanager
 def _use_hash():
     with (
-        patch.object(calls, "choose_target", _choose_by_hash),
-        patch.object(calls, "check_overload", lambda *_: None),
+        patch.object(dispatch, "choose_target", _choose_by_hash),
+        patch.object(dispatch, "check_overload", lambda *_: None),
     ):
         yield
 
--- a/tests/core/gateway/test_internal_errors.py
+++ b/tests/core/gateway/test_internal_errors.py
@@ -5,7 +5,7 @@
 from unittest import TestCase
 from unittest.mock import patch
 
-from almondgap_core.gateway import calls
+from almondgap_core.gateway import dispatch
 from almondgap_core.gateway.effects import Refuse, Send
 from almondgap_core.gateway.reducer import fail_call
 from almondgap_core.verdict import Verdict
@@ -15,7 +15,7 @@
 class FailedStepTests(TestCase):
     def test_request_that_was_not_sent_is_refused_as_not_run(self):
         harness = GatewayHarness.build((announce("t1"),))
-        with patch.object(calls, "check_overload", side_effect=RuntimeError):
+        with patch.object(dispatch, "check_overload", side_effect=RuntimeError):
             with self.assertRaises(RuntimeError):
                 harness.call()
         effects = fail_call(harness.state, harness.number)
--- a/tests/core/gateway/test_overload.py
+++ b/tests/core/gateway/test_overload.py
@@ -10,7 +10,7 @@
 from unittest import TestCase
 from unittest.mock import patch
 
-from almondgap_core.gateway import calls
+from almondgap_core.gateway import dispatch
 from almondgap_core.gateway.configuration import Account
 from almondgap_core.gateway.overload import check_overload
 from almondgap_core.gateway.placement import Choice
@@ -56,7 +56,7 @@
     def test_shedding_serves_more_in_time_than_queueing(self):
         for seed in (1, 2):
             sim = run_load(2 * CAPACITY, seed)
-            with patch.object(calls, "check_overload", lambda *_: None):
+            with patch.object(dispatch, "check_overload", lambda *_: None):
                 queueing = run_load(2 * CAPACITY, seed)
             self.assertGreater(count_on_time(sim), 1.5 * count_on_time(queueing))
 
