Own interface: take no late second copy of an answer for that of the next request

Cause: connections were used again although nothing ties an answer to its request. A connection is now used again only for a target whose answers return Almondgap-Request as it was sent; an answer that names another request ends the attempt as one that may have run. Others get a new connection each time; the stand-in targets return the header. Ruled out: surplus bytes on an idle connection, which Twisted's pool ends by itself.

--- a/packages/almondgap-daemon/almondgap_daemon/attempt.py
+++ b/packages/almondgap-daemon/almondgap_daemon/attempt.py
@@ -22,6 +22,7 @@
     filter_request_headers,
     read_operation_key,
 )
+from almondgap_daemon.target_pool import TargetPool
 
 
 class Attempt:
@@ -40,13 +41,15 @@
         self.relaying = False
         self.ended = False
         self.timed_out = False
+        self._pool: TargetPool | None = None
         self._recorded: bytearray | None = None
         self._pending = None
         self._body: ResponseBody | None = None
         self._timer = None
 
-    def start(self, agent) -> None:
+    def start(self, pool: TargetPool) -> None:
         """Send the request."""
+        self._pool = pool
         runtime = self.exchange.runtime
         remaining = max(self.effect.deadline - runtime.now(), 0)
         self._timer = runtime.reactor.callLater(
@@ -56,7 +59,7 @@
         target = self.effect.target
         url = f"http://{target.address}:{target.port}".encode() + self.exchange.path
         self._pending = maybeDeferred(
-            agent.request,
+            pool.choose_agent(target.address, target.port).request,
             request.method,
             url,
             self._make_headers(request, remaining),
@@ -113,6 +116,15 @@
         if self.ended:
             return
         self.response = response
+        target = self.effect.target
+        names = response.headers.getRawHeaders(REQUEST_HEADER, [])
+        is_own = names == [self.exchange.req_id]
+        self._pool.record_answer(target.address, target.port, is_own)
+        if names and not is_own:
+            # It answers an earlier request; this one may be running.
+            self.end(AttemptOutcome.BROKEN)
+            self._abort()
+            return
         self.exchange.answer_started(self, response.code)
 
     def _on_failure(self, failure) -> None:
--- a/packages/almondgap-daemon/almondgap_daemon/callers.py
+++ b/packages/almondgap-daemon/almondgap_daemon/callers.py
@@ -6,7 +6,6 @@
 import json
 
 from klein import Klein
-from twisted.web.client import Agent
 from werkzeug.exceptions import HTTPException, MethodNotAllowed, NotFound
 
 from almondgap_core.events import RequestArrived
@@ -22,7 +21,6 @@
 #: Upper bound of a request's deadline, in seconds after its arrival.
 MAX_CALL_S = 600
 
-CONNECT_TIMEOUT_S = 1.0
 DIGEST_BYTES = 16
 
 #: Index of the service's name in a request's path when split at slashes.
@@ -44,9 +42,6 @@
         self.cfg = cfg
         self.pepper = cfg.pepper.encode()
         self.pool = TargetPool(runtime.reactor)
-        self.agent = Agent(
-            runtime.reactor, connectTimeout=CONNECT_TIMEOUT_S, pool=self.pool.http
-        )
         self._count = 0
         self.lookups = LookupResource(runtime, self.pepper, self._make_request_id)
 
@@ -101,7 +96,7 @@
             digest=_compute_digest(request),
         )
         path = b"/" + parts[SERVICE_PATH_INDEX + 1]
-        exchange = Exchange(self.runtime, self.agent, request, arrival.req_id, path)
+        exchange = Exchange(self.runtime, self.pool, request, arrival.req_id, path)
         return exchange.start(arrival)
 
     @app.handle_errors(HTTPException)
--- a/packages/almondgap-daemon/almondgap_daemon/exchange.py
+++ b/packages/almondgap-daemon/almondgap_daemon/exchange.py
@@ -29,9 +29,9 @@
     :ivar done: fires once the answer is written or the caller disconnected.
     """
 
-    def __init__(self, runtime, agent, request, req_id: str, path: bytes) -> None:
+    def __init__(self, runtime, pool, request, req_id: str, path: bytes) -> None:
         self.runtime = runtime
-        self.agent = agent
+        self.pool = pool
         self.request = request
         self.req_id = req_id
         self.path = path
@@ -81,7 +81,7 @@
 
     def _dispatch(self, effect: effects.Dispatch) -> None:
         self.attempt = Attempt(self, effect)
-        self.attempt.start(self.agent)
+        self.attempt.start(self.pool)
 
     def _relay(self, effect: effects.Relay) -> None:
         response = self.attempt.response
--- a/packages/almondgap-testkit/almondgap_testkit/standins/raw.py
+++ b/packages/almondgap-testkit/almondgap_testkit/standins/raw.py
@@ -1,4 +1,4 @@
-"""A stand-in target that answers with given bytes, sound HTTP or not."""
+"""Stand-in targets that answer with given bytes, or write answers twice."""
 
 from __future__ import annotations
 
@@ -67,3 +67,58 @@
                     self.sent += len(self.tail)
             except OSError:
                 self.broken.set()
+
+
+@define
+class RepeatingTarget:
+    """Answers each request with its path, after a copy of the answer before it.
+
+    :ivar echoes: whether answers name the request that they belong to.
+    :ivar reused: number of requests on connections that were used before.
+    """
+
+    listener: socket.socket
+    echoes: bool = False
+    reused: int = 0
+
+    @classmethod
+    def listen(cls, address: str, port: int) -> RepeatingTarget:
+        """Return a target that listens, in a thread of its own."""
+        target = cls(socket.create_server((address, port)))
+        threading.Thread(target=target._accept, daemon=True).start()
+        return target
+
+    def close(self) -> None:
+        """Stop listening."""
+        self.listener.shutdown(socket.SHUT_RDWR)
+        self.listener.close()
+
+    def _accept(self) -> None:
+        while True:
+            try:
+                conn, _ = self.listener.accept()
+            except OSError:
+                return
+            threading.Thread(target=self._serve, args=(conn,), daemon=True).start()
+
+    def _serve(self, conn: socket.socket) -> None:
+        before = b""
+        with conn, conn.makefile("rb") as stream:
+            while line := stream.readline():
+                names = {}
+                while (header := stream.readline()).strip():
+                    name, _, value = header.partition(b":")
+                    names[name.strip().lower()] = value.strip()
+                self.reused += bool(before)
+                answer = self._build_answer(line.split()[1], names)
+                try:
+                    conn.sendall(before + answer)
+                except OSError:
+                    return
+                before = answer
+
+    def _build_answer(self, path: bytes, names: dict[bytes, bytes]) -> bytes:
+        head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n" % len(path)
+        if self.echoes:
+            head += b"Almondgap-Request: %b\r\n" % names[b"almondgap-request"]
+        return head + b"\r\n" + path
--- a/packages/almondgap-testkit/almondgap_testkit/standins/targets.py
+++ b/packages/almondgap-testkit/almondgap_testkit/standins/targets.py
@@ -19,6 +19,7 @@
 
 from almondgap_core.settings.inventory import Target
 from almondgap_core.settings.rollout import load_inventory
+from almondgap_daemon.headers import REQUEST_HEADER
 from almondgap_testkit.standins.behaviour import Behaviour, Run, TargetRecord
 from almondgap_testkit.standins.serving import answer_json, listen, run
 
@@ -43,6 +44,9 @@
             return self._answer_health(request)
         record = self.record
         self._note_headers(request)
+        request_id = request.getHeader(REQUEST_HEADER)
+        if request_id is not None:
+            request.setHeader(REQUEST_HEADER, request_id)
         if self.behaviour.shed or record.running >= self.target.slots:
             record.shed += 1
             request.setResponseCode(503)
--- a/tests/daemon/test_bad_input.py
+++ b/tests/daemon/test_bad_input.py
@@ -11,10 +11,10 @@
 from almondgap_core.settings.parsing import parse_document
 from almondgap_testkit.fleet import Fleet
 from almondgap_testkit.sockets import RawAnswer, build_request, connect, exchange
-from almondgap_testkit.standins.raw import RawTarget
+from almondgap_testkit.standins.raw import RawTarget, RepeatingTarget
 
 HOST = "akl-a-1"
-RAW_PORT = 9000
+RAW_PORT, REPEATING_PORT = 9_000, 9_001
 CALL = "/v1/call/climb-slots/x"
 MEGABYTE = 1_048_576
 
@@ -32,6 +32,9 @@
         cls.fleet.start()
         cls.raw = RawTarget.listen(f"{cls.fleet.net}200.1", RAW_PORT)
         cls.addClassCleanup(cls.raw.close)
+        address = f"{cls.fleet.net}200.1"
+        cls.repeating = RepeatingTarget.listen(address, REPEATING_PORT)
+        cls.addClassCleanup(cls.repeating.close)
         cls._add_raw_service()
 
     @classmethod
@@ -43,10 +46,14 @@
             "failure_domain": "akl-a",
             "address": f"{fleet.net}200.1",
             "port": RAW_PORT,
-            "slots": 50,
+            "slots": 10,
             "connections": 50,
         }
         document["services"]["raw"] = {"deadline_ms": 20_000, "targets": [target]}
+        fields = {"name": "repeating-1", "port": REPEATING_PORT, "slots": 4}
+        target = {**target, **fields}
+        service = {"deadline_ms": 20_000, "targets": [target]}
+        document["services"]["repeating"] = service
         changed = fleet.folder / "changed.json"
         changed.write_text(json.dumps(document))
         fleet.run_cli("apply", str(changed), "--platform", fleet.platform)
@@ -227,6 +234,19 @@
                 self.assertEqual(answer.status, 502, answer.data)
                 self.assertEqual(answer.headers["almondgap-verdict"], "may-have-run")
 
+    def test_late_second_copy_answers_no_later_request(self):
+        for echoes in (False, True):
+            self.repeating.echoes = echoes
+            for number in range(8):
+                path = f"/{echoes}-{number}"
+                answer = self.send(f"/v1/call/repeating{path}")
+                with self.subTest(echoes=echoes, number=number):
+                    if answer.status == 200:
+                        self.assertEqual(answer.body.decode(), path)
+                    else:
+                        verdict = answer.headers["almondgap-verdict"]
+                        self.assertEqual(verdict, "may-have-run")
+
     def test_answers_without_a_body(self):
         for method, head in (
             ("HEAD", b"HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\n"),
