--- a/packages/almondgap-testkit/almondgap_testkit/standins/raw.py
+++ b/packages/almondgap-testkit/almondgap_testkit/standins/raw.py
@@ -70,36 +70,13 @@
 
 
 @define
-class RepeatingTarget:
+class RepeatingTarget(RawTarget):
     """Answers each request with its path, after a copy of the answer before it.
 
     :ivar echoes: whether answers name the request that they belong to.
-    :ivar reused: number of requests on connections that were used before.
     """
 
-    listener: socket.socket
     echoes: bool = False
-    reused: int = 0
-
-    @classmethod
-    def listen(cls, address: str, port: int) -> RepeatingTarget:
-        """Return a target that listens, in a thread of its own."""
-        target = cls(socket.create_server((address, port)))
-        threading.Thread(target=target._accept, daemon=True).start()
-        return target
-
-    def close(self) -> None:
-        """Stop listening."""
-        self.listener.shutdown(socket.SHUT_RDWR)
-        self.listener.close()
-
-    def _accept(self) -> None:
-        while True:
-            try:
-                conn, _ = self.listener.accept()
-            except OSError:
-                return
-            threading.Thread(target=self._serve, args=(conn,), daemon=True).start()
 
     def _serve(self, conn: socket.socket) -> None:
         before = b""
@@ -109,7 +86,6 @@
                 while (header := stream.readline()).strip():
                     name, _, value = header.partition(b":")
                     names[name.strip().lower()] = value.strip()
-                self.reused += bool(before)
                 answer = self._build_answer(line.split()[1], names)
                 try:
                     conn.sendall(before + answer)
--- a/tests/core/gateway/test_target_limits.py
+++ b/tests/core/gateway/test_target_limits.py
@@ -12,7 +12,8 @@
 from almondgap_core.units import millis, seconds
 from almondgap_core.verdict import Verdict
 from almondgap_testkit.gateways.builders import KEY, announce, build_configuration
-from almondgap_testkit.gateways.simulation import ModelTarget, Simulation
+from almondgap_testkit.gateways.model_fleet import ModelTarget
+from almondgap_testkit.gateways.simulation import Simulation
 
 DOMAINS = ("a1", "a1", "a1", "a2", "a2", "b1", "b2", "b2")
 
--- a/tests/core/gateway/test_target_notices.py
+++ b/tests/core/gateway/test_target_notices.py
@@ -33,7 +33,8 @@
     announce,
     build_configuration,
 )
-from almondgap_testkit.gateways.simulation import ModelTarget, Simulation
+from almondgap_testkit.gateways.model_fleet import ModelTarget
+from almondgap_testkit.gateways.simulation import Simulation
 
 DOMAINS = ("a1", "a1", "a1", "a2", "a2", "b1", "b2", "b2")
 TARGETS = 16
