Take a token before a request that no other host took is sent to a target

A request that a partitioned host hands over takes no token there, or gives it back. It takes one now before it is sent, and is refused with 429 if there is none, or with 502 if it may have run. Ruled out: double tokens, since a request that has one, or was sent anywhere, keeps it.

--- a/packages/almondgap-core/almondgap_core/gateway/dispatch.py
+++ b/packages/almondgap-core/almondgap_core/gateway/dispatch.py
@@ -5,7 +5,7 @@
 
 from __future__ import annotations
 
-from almondgap_core.gateway.admission import return_token
+from almondgap_core.gateway.admission import return_token, take_token
 from almondgap_core.gateway.attempts import send_call
 from almondgap_core.gateway.call import Call
 from almondgap_core.gateway.overload import check_overload
@@ -54,6 +54,12 @@
         refuse_unplaced(state, call, now)
         return
     refusal = check_overload(state, call, choice, now)
+    if refusal is None and not call.has_token:
+        # A request that another host did not take has no token here.
+        refusal = take_token(state, call, now)
+        if refusal is not None and call.may_have_run:
+            refuse_call(state, call, now, 502, refusal.reason, refusal.detail)
+            return
     if refusal is None:
         record_trial(state, call, now)
         send_call(state, call, choice, now)
--- a/tests/core/gateway/test_reachability.py
+++ b/tests/core/gateway/test_reachability.py
@@ -9,6 +9,7 @@
 import random
 from unittest import TestCase
 
+from almondgap_core.gateway.admission import refill_tokens
 from almondgap_core.gateway.configuration import Account
 from almondgap_core.gateway.effects import Deliver, Refuse, Relay, Send
 from almondgap_core.gateway.events import (
@@ -17,6 +18,7 @@
     Failure,
     HeartbeatReceived,
     RelayAnswered,
+    TargetAnnounced,
 )
 from almondgap_core.gateway.fleet import list_caller_addresses
 from almondgap_core.gateway.heartbeats import Heartbeat
@@ -322,6 +324,29 @@
         gateway.feed(AttemptFailed, 1, relay.attempt, *failure)
         self.assertEqual(bucket.level, level + 1)
 
+    def test_request_that_comes_back_from_a_hand_over_needs_a_token(self):
+        for level, statuses in ((0.0, [429]), (1.0, [])):
+            accounts = {"one": Account("one", frozenset({KEY}), None, 1.0, 1.0)}
+            gateway = self.build(
+                (("h2", "a2"),),
+                configuration=build_configuration(accounts=accounts),
+                partitioned=False,
+            )
+            gateway.feed(TargetAnnounced, announce("t9"))
+            for name in ("t0", "t1", "t2"):
+                gateway.feed(ConnectionChecked, name, False)
+            gateway.call("/orders/1")
+            [relay] = gateway.find(Relay)
+            account = gateway.state.configuration.accounts["one"]
+            bucket = refill_tokens(gateway.state, account, gateway.now)
+            bucket.level = level
+            failure = (Failure.NOT_CONNECTED, Verdict.NOT_RUN)
+            gateway.feed(AttemptFailed, 1, relay.attempt, *failure)
+            refused = [each.refusal for each in gateway.find(Refuse)]
+            self.assertEqual([each.status for each in refused], statuses)
+            self.assertEqual(len(gateway.find(Send)), 1 - len(statuses))
+            self.assertLess(bucket.level, 1.0)
+
     def test_directory_names_no_host_without_targets_beside_others(self):
         gateway = self.build()
         addresses = list_caller_addresses(gateway.state, "a1", "a", gateway.now)
