Check the range of each value in rows and datagrams where it is decoded

Callers: beside nine odd entries of targets, 12 of 12 requests to the service were answered 503 by the host that read them (real processes, the code before this change).

Cause: types were checked at the boundary, ranges were not. A number of slots of 10^400 failed in the ranking of each request, a start time of 2^70 in messages to other hosts, a name with a line break in the header of the request, NaN as a weight in the share of a service; a text in the place of a list of API keys made each of its letters a key. A row that failed in an unforeseen way hid the rows after it.

Ruled out: that a process ends; none did in the tests.

Change: fields.py has the checks, and rows, the configuration and datagrams use them. What passes can be computed with, hashed, logged, sent and connected to without a look-up. A value that can't be read is that of a row which names nothing. Messages between hosts stay the same, which a test with the bytes of the build before shows.

Tests: drawn values through decoding, ranking, requests, messages and logs, for targets, the configuration, hosts, suspects and datagrams, and one with real processes. Before, 7 of the 9 tests of test_odd_rows and that of test_odd_entries failed.

After: they pass.

--- a/packages/almondgap-daemon/almondgap_daemon/gateway/messages.py
+++ b/packages/almondgap-daemon/almondgap_daemon/gateway/messages.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from math import inf
 
 import msgpack
 from attrs import astuple, define, frozen
@@ -22,6 +23,14 @@
     StoreView,
 )
 from almondgap_core.gateway.suspects import Crash, SuspectReport, Suspects
+from almondgap_daemon.fields import (
+    check_address,
+    check_count,
+    check_flag,
+    check_name,
+    check_number,
+    check_text,
+)
 
 #: Version of the message format. A host ignores messages of other versions.
 FORMAT_VERSION = 1
@@ -133,28 +142,37 @@
 def _decode_heartbeat(
     location, incarnation, sequence, ready, version, reaches_targets=True
 ) -> Heartbeat:
+    host, failure_domain, region, caller_address, peer_address = location
     return Heartbeat(
-        HostLocation(*(str(part) for part in location)),
-        int(incarnation),
-        int(sequence),
-        bool(ready),
-        int(version),
-        bool(reaches_targets),
+        HostLocation(
+            check_name(host),
+            check_text(failure_domain),
+            check_text(region),
+            check_address(caller_address),
+            check_address(peer_address),
+        ),
+        check_count(incarnation),
+        check_count(sequence),
+        check_flag(ready),
+        check_count(version),
+        check_flag(reaches_targets),
     )
 
 
 def _decode_advertised_limits(host, limits) -> AdvertisedLimits:
     return AdvertisedLimits(
-        str(host), tuple(_decode_advertised_limit(*each) for each in limits)
+        check_name(host), tuple(_decode_advertised_limit(*each) for each in limits)
     )
 
 
 def _decode_advertised_limit(target, incarnation, rate, age) -> AdvertisedLimit:
-    limit = AdvertisedLimit(str(target), int(incarnation), float(rate), int(age))
-    # NaN fails the comparison as well.
-    if not (limit.rate >= 0.0 and limit.age >= 0):
-        raise ValueError(f"invalid limit {limit}")
-    return limit
+    # Infinity says that the target has no limit any more.
+    return AdvertisedLimit(
+        check_name(target),
+        check_count(incarnation),
+        rate if rate == inf else check_number(rate),
+        check_count(age),
+    )
 
 
 def _encode_suspect(report: SuspectReport) -> tuple:
@@ -166,19 +184,19 @@
 
 
 def _decode_suspects(host, reports) -> Suspects:
-    return Suspects(str(host), tuple(_decode_suspect(*each) for each in reports))
+    return Suspects(check_name(host), tuple(_decode_suspect(*each) for each in reports))
 
 
 def _decode_suspect(fingerprint, trials, crashes) -> SuspectReport:
     known = [
-        (Crash(str(target), int(incarnation)), bool(cleared))
+        (Crash(check_name(target), check_count(incarnation)), check_flag(cleared))
         for target, incarnation, cleared in crashes
     ]
     return SuspectReport(
-        str(fingerprint),
+        check_text(fingerprint),
         tuple(crash for crash, _ in known),
         tuple(crash for crash, cleared in known if cleared),
-        int(trials),
+        check_count(trials),
     )
 
 
@@ -187,17 +205,20 @@
     Heartbeat: _decode_heartbeat,
     Suspects: _decode_suspects,
     TokenRequest: lambda reply_to, account, correlation_id, tokens: TokenRequest(
-        str(reply_to), str(account), int(correlation_id), float(tokens)
+        check_address(reply_to),
+        check_text(account),
+        check_count(correlation_id),
+        check_number(tokens),
     ),
     StoreView: lambda host, incarnation, versions, outages, era=0: StoreView(
-        str(host),
-        int(incarnation),
-        tuple(int(version) for version in versions),
-        int(outages),
-        int(era),
+        check_name(host),
+        check_count(incarnation),
+        tuple(check_count(version) for version in versions),
+        check_count(outages),
+        check_count(era),
     ),
     TokenResponse: lambda account, correlation_id, tokens: TokenResponse(
-        str(account), int(correlation_id), float(tokens)
+        check_text(account), check_count(correlation_id), check_number(tokens)
     ),
 }
 
@@ -220,7 +241,7 @@
             host, _, port = address.rpartition(":")
             try:
                 self.transport.write(data, (host, int(port)))
-            except (OSError, ValueError) as exc:
+            except (ArithmeticError, OSError, ValueError) as exc:
                 self.on_error(f"cannot send message to {address}: {exc}")
 
     def datagramReceived(self, datagram: bytes, addr) -> None:  # noqa: N802
--- a/packages/almondgap-daemon/almondgap_daemon/gateway/watcher.py
+++ b/packages/almondgap-daemon/almondgap_daemon/gateway/watcher.py
@@ -13,7 +13,7 @@
 from twisted.internet.defer import CancelledError, Deferred, inlineCallbacks
 from twisted.internet.task import deferLater
 
-from almondgap_core.exceptions import MessageError, PlatformError
+from almondgap_core.exceptions import PlatformError
 from almondgap_core.gateway.events import (
     ConfigurationRead,
     EvacuationsRead,
@@ -292,7 +292,7 @@
     def _handle_configuration(self, row: StoreRow) -> None:
         try:
             cfg = decode_configuration(row.value)
-        except MessageError as exc:
+        except Exception as exc:
             self.on_error(f"configuration of store version {row.version}: {exc}")
             return
         self.feed(ConfigurationRead(self.now(), cfg))
@@ -305,7 +305,8 @@
                 continue
             try:
                 announced = decode_announcement(row.key, row.value)
-            except MessageError as exc:
+            except Exception as exc:
+                # Whatever is wrong with one row, those after it count.
                 self.on_error(f"target {row.key}: {exc}")
                 if not whole:
                     self.feed(TargetWithdrawn(self.now(), row.key))
--- a/packages/almondgap-daemon/almondgap_daemon/platform/records.py
+++ b/packages/almondgap-daemon/almondgap_daemon/platform/records.py
@@ -7,8 +7,8 @@
 from __future__ import annotations
 
 import base64
-import binascii
 import json
+import re
 from typing import Any
 
 from attrs import frozen
@@ -26,6 +26,16 @@
 from almondgap_core.gateway.suspects import Crash, SuspectReport
 from almondgap_core.gateway.target import Announcement
 from almondgap_core.units import seconds
+from almondgap_daemon.fields import (
+    MAX_DURATION_S,
+    check_address,
+    check_count,
+    check_flag,
+    check_name,
+    check_number,
+    check_text,
+    check_texts,
+)
 
 #: Table that operators write, key of the configuration in it, and prefix of the keys of
 #: failure domains that are evacuated.
@@ -48,10 +58,24 @@
 DRAINING_BY_STATE = {"ready": False, "draining": True}
 
 #: What decoding raises for values of other types, and for numbers beyond any range.
-_DECODE_ERRORS = (ArithmeticError, AttributeError, KeyError, TypeError, ValueError)
+_DECODE_ERRORS = (
+    ArithmeticError,
+    AttributeError,
+    KeyError,
+    RecursionError,
+    TypeError,
+    ValueError,
+)
+
+#: Upper bound of a target's start time: the last millisecond of the year 9999.
+MAX_UNIX_MS = 253_402_300_799_999
+
+#: Upper bound of the slots of a target: each takes a connection, and a target has no
+#: more of these than a host has ports.
+MAX_SLOTS = 65_535
 
-#: Upper bound of durations, in seconds; larger values are taken for mistakes.
-MAX_DURATION_S = 86_400.0
+#: Maximum number of hexadecimal digits of the configuration's version.
+MAX_VERSION_DIGITS = 15
 
 
 @frozen
@@ -59,30 +83,31 @@
     """A row of the store.
 
     :ivar value: bytes of the row, None if the row was removed.
+    :ivar part: rows of the same key in different parts are different rows.
     """
 
     table: str
     key: str
     value: bytes | None
     version: int
+    part: str = ""
 
 
 def decode_row(data: Any) -> StoreRow:
-    """Return a row from its JSON form.
+    """Return a row from its JSON form; an unreadable value becomes an empty one.
 
     :raises MessageError: the row is malformed.
     """
     try:
-        removed = bool(data.get("tombstone", False))
-        text = None if removed else data.get("value")
-        value = None if text is None else base64.b64decode(text, validate=True)
+        removed = check_flag(data.get("tombstone", False))
         return StoreRow(
-            _check_text(data["table"]),
-            _check_text(data["key"]),
-            value,
-            _check_count(data["ver"]),
+            check_text(data["table"]),
+            check_text(data["key"]),
+            None if removed else _decode_value(data.get("value")),
+            check_count(data["ver"]),
+            check_text(data.get("part") or ""),
         )
-    except (AttributeError, KeyError, TypeError, ValueError, binascii.Error) as exc:
+    except _DECODE_ERRORS as exc:
         raise MessageError(f"malformed row: {exc!r}") from exc
 
 
@@ -94,7 +119,7 @@
     data = _parse_object(value)
     try:
         return Configuration(
-            version=int(data["version"], 16),
+            version=_parse_version(data["version"]),
             routes=tuple(
                 _decode_route(name, route) for name, route in data["routes"].items()
             ),
@@ -121,18 +146,15 @@
     data = _parse_object(value)
     try:
         info, status = data["info"], data["status"]
-        host, _, port = _check_text(data["address"]).rpartition(":")
-        if not host or not 0 < int(port) < 65_536:
-            raise ValueError(f"invalid address {data['address']!r}")
         return Announcement(
-            target=name,
+            target=check_name(name),
             # ``born`` is the target's start time, in milliseconds.
-            incarnation=_check_count(data["born"]),
-            sequence=_check_count(status["seq"]),
-            service=_check_text(info["backend"]),
-            address=data["address"],
-            failure_domain=_check_text(info["zone"]),
-            slots=max(1, _check_count(info["slots"])),
+            incarnation=check_count(data["born"], MAX_UNIX_MS),
+            sequence=check_count(status["seq"]),
+            service=check_text(info["backend"]),
+            address=check_address(data["address"]),
+            failure_domain=check_text(info["zone"]),
+            slots=max(1, check_count(info["slots"], MAX_SLOTS)),
             draining=DRAINING_BY_STATE[status["state"]],
             warmup_left=_parse_duration(status["cold_left_s"]),
         )
@@ -161,11 +183,11 @@
     data = _parse_object(value)
     try:
         return HostLocation(
-            _check_text(data["host"]),
-            _check_text(data["failure_domain"]),
-            _check_text(data["region"]),
-            _check_text(data["callers"]),
-            _check_text(data["peers"]),
+            check_name(data["host"]),
+            check_text(data["failure_domain"]),
+            check_text(data["region"]),
+            check_address(data["callers"]),
+            check_address(data["peers"]),
         )
     except _DECODE_ERRORS as exc:
         raise MessageError(f"malformed host: {exc!r}") from exc
@@ -193,16 +215,16 @@
     data = _parse_object(value)
     try:
         known = [
-            (Crash(_check_text(target), _check_count(incarnation)), bool(cleared))
+            (Crash(check_name(target), check_count(incarnation)), check_flag(cleared))
             for target, incarnation, cleared in data["crashes"]
         ]
         report = SuspectReport(
-            fingerprint,
+            check_text(fingerprint),
             tuple(crash for crash, _ in known),
             tuple(crash for crash, cleared in known if cleared),
-            _check_count(data["trials"]),
+            check_count(data["trials"]),
         )
-        return report, _check_count(data["saved_at"])
+        return report, check_count(data["saved_at"])
     except _DECODE_ERRORS as exc:
         raise MessageError(f"malformed suspect: {exc!r}") from exc
 
@@ -211,34 +233,36 @@
     split = data.get("traffic_split")
     if split:
         backends = tuple(
-            Backend(_check_text(part["backend"]), float(part["weight"]))
+            Backend(check_text(part["backend"]), check_number(part["weight"]))
             for part in split
         )
+        if not any(backend.weight for backend in backends):
+            raise ValueError("no service of the split has a weight")
     else:
-        backends = (Backend(_check_text(data["backend"])),)
+        backends = (Backend(check_text(data["backend"])),)
     return Route(
         name=name,
-        host=_check_text(data["host"]),
-        prefix=_check_text(data["prefix"]),
+        host=check_text(data["host"]),
+        prefix=check_text(data["prefix"]),
         idempotent=data["kind"] == IDEMPOTENT_KIND,
         timeout=_parse_duration(data["timeout_s"]),
         goal=_parse_duration(data.get("target_latency_s") or data["timeout_s"]),
-        priority=int(data.get("priority", 0)),
+        priority=check_count(data.get("priority", 0)),
         backends=backends,
-        max_attempts=int(data.get("max_attempts", 1)),
-        public=bool(data.get("public", False)),
-        sticky=bool(data.get("sticky", False)),
-        regions=frozenset(data.get("allowed_regions") or ()),
+        max_attempts=check_count(data.get("max_attempts", 1)),
+        public=check_flag(data.get("public", False)),
+        sticky=check_flag(data.get("sticky", False)),
+        regions=frozenset(check_texts(data.get("allowed_regions") or ())),
     )
 
 
 def _decode_service(name: str, data: dict[str, Any]) -> Service:
     return Service(
         name=name,
-        health_path=_check_text(data.get("health_check") or "/"),
-        max_connections=int(data.get("max_conns", 100)),
+        health_path=check_text(data.get("health_check") or "/"),
+        max_connections=check_count(data.get("max_conns", 100)),
         warmup_time=_parse_duration(data.get("cold_s", 0.0)),
-        warmup_rate=float(data.get("cold_per_s", 0.0)),
+        warmup_rate=check_number(data.get("cold_per_s", 0.0)),
     )
 
 
@@ -246,24 +270,38 @@
     priority = data.get("priority")
     return Account(
         name=name,
-        keys=frozenset(_check_text(key) for key in data["api_keys"]),
-        priority=None if priority is None else int(priority),
-        rate=float(data.get("rate_per_s") or 0.0),
-        burst=float(data.get("burst") or 0.0),
-        regions=frozenset(data.get("allowed_regions") or ()),
+        keys=frozenset(check_texts(data["api_keys"])),
+        priority=None if priority is None else check_count(priority),
+        rate=check_number(data.get("rate_per_s") or 0.0),
+        burst=check_number(data.get("burst") or 0.0),
+        regions=frozenset(check_texts(data.get("allowed_regions") or ())),
     )
 
 
 def _decode_limits(data: dict[str, Any]) -> CallerLimits:
     defaults = CallerLimits()
     return CallerLimits(
-        header_bytes=int(data.get("max_header_bytes", defaults.header_bytes)),
-        body_bytes=int(data.get("max_body_bytes", defaults.body_bytes)),
+        header_bytes=check_count(data.get("max_header_bytes", defaults.header_bytes)),
+        body_bytes=check_count(data.get("max_body_bytes", defaults.body_bytes)),
         header_timeout=_parse_duration(data.get("header_timeout_s", 3.0)),
         idle_timeout=_parse_duration(data.get("idle_timeout_s", 15.0)),
     )
 
 
+def _decode_value(text: Any) -> bytes:
+    """Return the bytes of a row, none if they can't be read."""
+    try:
+        return base64.b64decode(text, validate=True)
+    except (TypeError, ValueError):
+        return b""
+
+
+def _parse_version(text: Any) -> int:
+    if not re.fullmatch(rf"[0-9a-fA-F]{{1,{MAX_VERSION_DIGITS}}}", check_text(text)):
+        raise ValueError("version is not a hexadecimal number")
+    return int(text, 16)
+
+
 def _parse_object(value: bytes) -> dict[str, Any]:
     try:
         data = json.loads(value)
@@ -274,21 +312,5 @@
     return data
 
 
-def _check_text(value: Any) -> str:
-    if not isinstance(value, str):
-        raise TypeError(f"{value!r} is not a string")
-    return value
-
-
-def _check_count(value: Any) -> int:
-    if isinstance(value, bool) or not isinstance(value, int) or value < 0:
-        raise TypeError(f"{value!r} is not a whole number of 0 or more")
-    return value
-
-
 def _parse_duration(value: Any) -> int:
-    if isinstance(value, bool) or not isinstance(value, int | float):
-        raise TypeError(f"{value!r} is not a duration")
-    if not 0 <= value <= MAX_DURATION_S:
-        raise ValueError(f"{value!r} is not a valid duration")
-    return seconds(value)
+    return seconds(check_number(value, MAX_DURATION_S))
--- a/packages/almondgap-testkit/almondgap_testkit/gateways/builders.py
+++ b/packages/almondgap-testkit/almondgap_testkit/gateways/builders.py
@@ -77,11 +77,17 @@
     return Announcement(**{**fields, **changes})
 
 
-def build_location(host: str = "h1", failure_domain: str = "a1") -> HostLocation:
-    """Return the location of a host."""
-    return HostLocation(
-        host, failure_domain, REGIONS[failure_domain], f"{host}:80", f"{host}:90"
-    )
+def build_location(
+    host: str = "h1", failure_domain: str = "a1", address: str = ""
+) -> HostLocation:
+    """Return the location of a host.
+
+    :param address: IPv4 address, by default the name of the host in its place.
+    """
+    address = address or host
+    region = REGIONS[failure_domain]
+    ports = f"{address}:80", f"{address}:90"
+    return HostLocation(host, failure_domain, region, *ports)
 
 
 @define
