Let no single row of an answer of the store hide the others

Callers: none seen; found by following a row of another writer through all stages.

Cause: an answer was refused as a whole for one row whose value is no base64, so that a host would call again and again and learn nothing new. A row of the same key in another part of a table counted as that of the target. An answer nested too deeply was an unexpected error.

Tests: the three of AnswerTests in test_store failed before and pass.

--- a/packages/almondgap-daemon/almondgap_daemon/platform/store.py
+++ b/packages/almondgap-daemon/almondgap_daemon/platform/store.py
@@ -17,6 +17,7 @@
     PlatformError,
     PlatformUnavailable,
 )
+from almondgap_daemon.fields import check_count
 from almondgap_daemon.http.connection import ClientConnection, Request
 from almondgap_daemon.http.pool import ConnectionPool
 from almondgap_daemon.http.response import NotConnected, Response
@@ -92,7 +93,7 @@
             first_era = era if first_era is None else first_era
             if era != first_era:
                 raise HistoryLost(f"store went from era {first_era} to {era}")
-            rows += _decode_rows(data, table)
+            rows += decode_rows(data, table)
             # The version of the first page counts: rows of later pages may be newer,
             # and are then returned once more as changes.
             version = _decode_version(data) if version is None else version
@@ -130,7 +131,7 @@
         version = _decode_version(data)
         if version < after:
             raise HistoryLost(f"store is at version {version}, before {after}")
-        return RowBatch(tuple(_decode_rows(data, table)), version, era)
+        return RowBatch(tuple(decode_rows(data, table)), version, era)
 
     @inlineCallbacks
     def write_row(self, table: str, key: str, value: bytes):
@@ -168,7 +169,7 @@
             raise HistoryLost(f"{path}: change history is no longer available")
         if response.status != 200:
             raise PlatformUnavailable(f"{path}: status {response.status}")
-        return _decode_body(response), _parse_era(response)
+        return decode_answer(response.body), _parse_era(response)
 
     @inlineCallbacks
     def _call(self, method: bytes, target: str, body: bytes, timeout: float):
@@ -212,17 +213,25 @@
     return int(value) if value.isdigit() and len(value) <= MAX_ERA_DIGITS else 0
 
 
-def _decode_body(response: Response) -> dict[str, Any]:
+def decode_answer(body: bytes) -> dict[str, Any]:
+    """Return the fields of an answer.
+
+    :raises PlatformAnswerLost: the body is not a JSON object.
+    """
     try:
-        data = json.loads(response.body)
-    except ValueError as exc:
+        data = json.loads(body)
+    except (RecursionError, ValueError) as exc:
         raise PlatformAnswerLost(f"invalid JSON: {exc}") from exc
     if not isinstance(data, dict):
         raise PlatformAnswerLost("not a JSON object")
     return data
 
 
-def _decode_rows(data: dict[str, Any], table: str) -> list[StoreRow]:
+def decode_rows(data: dict[str, Any], table: str) -> list[StoreRow]:
+    """Return the rows of a table in an answer; rows of other parts are left out.
+
+    :raises PlatformAnswerLost: the answer belongs to another call, or is malformed.
+    """
     try:
         rows = [decode_row(row) for row in data.get("rows", [])]
     except (MessageError, TypeError) as exc:
@@ -230,11 +239,11 @@
     if any(row.table != table for row in rows):
         # A late copy of the answer to an earlier call.
         raise PlatformAnswerLost(f"rows of another table than {table}")
-    return rows
+    return [row for row in rows if not row.part]
 
 
 def _decode_version(data: dict[str, Any]) -> int:
-    version = data.get("ver")
-    if not isinstance(version, int):
-        raise PlatformAnswerLost("missing version")
-    return version
+    try:
+        return check_count(data.get("ver"))
+    except (TypeError, ValueError) as exc:
+        raise PlatformAnswerLost(f"version: {exc}") from exc
--- a/tests/daemon/platform/test_store.py
+++ b/tests/daemon/platform/test_store.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import base64
 import json
 from unittest import TestCase
 
@@ -9,9 +10,14 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.task import Clock
 
-from almondgap_core.exceptions import PlatformAnswerLost
+from almondgap_core.exceptions import PlatformAnswerLost, PlatformError
 from almondgap_daemon.http.response import Response
-from almondgap_daemon.platform.store import HistoryLost, StoreClient
+from almondgap_daemon.platform.store import (
+    HistoryLost,
+    StoreClient,
+    decode_answer,
+    decode_rows,
+)
 
 
 @define
@@ -93,3 +99,34 @@
         failures: list = []
         deferred.addErrback(failures.append)
         return failures[0].value
+
+
+class AnswerTests(TestCase):
+    def make_body(self, *rows: str) -> bytes:
+        return f'{{"ver": 9, "rows": [{", ".join(rows)}]}}'.encode()
+
+    def make_row(self, **changes) -> str:
+        value = base64.b64encode(b"{}").decode()
+        row = {"table": "servers", "part": "", "key": "t1", "value": value, "ver": 4}
+        return json.dumps({**row, **changes})
+
+    def test_row_that_cannot_be_read_hides_no_other(self):
+        # Guards against an answer that is refused for one row, again and again.
+        good = self.make_row(key="t2")
+        for changes in ({"value": 7}, {"value": "*"}, {"value": None}, {"value": [[]]}):
+            with self.subTest(changes=changes):
+                data = decode_answer(self.make_body(self.make_row(**changes), good))
+                odd, other = decode_rows(data, "servers")
+                self.assertEqual((odd.key, odd.value), ("t1", b""))
+                self.assertEqual((other.key, other.value), ("t2", b"{}"))
+
+    def test_rows_of_other_parts_are_other_rows(self):
+        # Guards against a row of the same key that hides that of a target.
+        body = self.make_body(self.make_row(part="x"), self.make_row(key="t2"))
+        rows = decode_rows(decode_answer(body), "servers")
+        self.assertEqual([row.key for row in rows], ["t2"])
+
+    def test_answer_that_is_nested_too_deeply_is_lost(self):
+        for body in (b"[" * 100_000, b"{" * 3, b"[]", b"\xff"):
+            with self.assertRaises(PlatformError):
+                decode_answer(body)
