Ignore loads and warm-up times of targets that are out of range

Callers: none seen; found while looking for paths related to odd entries. An answer of a target with a load of 400 digits makes the estimate of its load fail in each request that is placed later.

Cause: the header's numbers had no upper bound, and a whole number that is too large can't be multiplied by a fraction.

Tests: test_load_that_no_target_can_have failed before and passes.

--- a/packages/almondgap-daemon/almondgap_daemon/platform/headers.py
+++ b/packages/almondgap-daemon/almondgap_daemon/platform/headers.py
@@ -9,6 +9,7 @@
 
 from almondgap_core.units import seconds
 from almondgap_core.verdict import Reason
+from almondgap_daemon.fields import MAX_DURATION_S
 from almondgap_daemon.http.response import (
     RawHeaders,
     find_header,
@@ -61,12 +62,15 @@
 #: Number of earlier attempts and version of the configuration.
 _RELAYED = re.compile(rb"(\d{1,3}) (\d{1,20})")
 
-#: Upper bound of the time for which a target may ask for no requests, in seconds.
-MAX_RETRY_AFTER_S = 86_400.0
-
 #: A decimal number of seconds.
 _SECONDS = re.compile(rb"\d{1,9}(\.\d{0,9})?|\.\d{1,9}")
 
+#: A decimal number of milliseconds.
+_MILLIS = re.compile(rb"\d{1,12}(\.\d{0,9})?")
+
+#: A number of requests.
+_COUNT = re.compile(rb"\s*\d{1,6}\s*")
+
 #: A decimal number of requests per second.
 _RATE = re.compile(rb"\d{1,15}(\.\d{0,15})?|\.\d{1,15}")
 
@@ -187,7 +191,7 @@
 def parse_load(headers: RawHeaders) -> tuple[int, int] | None:
     """Return a target's numbers of running and queued requests, None if invalid."""
     parts = (find_header(headers, LOAD) or b"").split(b",")
-    if len(parts) < 2 or not all(part.strip().isdigit() for part in parts[:2]):
+    if len(parts) < 2 or not all(_COUNT.fullmatch(part) for part in parts[:2]):
         return None
     return int(parts[0]), int(parts[1])
 
@@ -222,16 +226,15 @@
     value = (find_header(headers, RETRY_AFTER) or b"").strip()
     if status != UNAVAILABLE_STATUS or not _SECONDS.fullmatch(value):
         return None
-    return seconds(min(float(value), MAX_RETRY_AFTER_S))
+    return seconds(min(float(value), MAX_DURATION_S))
 
 
 def parse_warm_up_left(headers: RawHeaders) -> int:
     """Return the remaining warm-up time of a target in microseconds, 0 if invalid."""
     value = (find_header(headers, WARM_UP_LEFT) or b"").strip()
-    try:
-        return max(0, round(float(value) * MICROS_PER_MILLI)) if value else 0
-    except (ValueError, OverflowError):
+    if not _MILLIS.fullmatch(value):
         return 0
+    return seconds(min(float(value) / 1_000, MAX_DURATION_S))
 
 
 def _parse_timeout(value: bytes | None) -> int:
--- a/tests/daemon/platform/test_headers.py
+++ b/tests/daemon/platform/test_headers.py
@@ -165,6 +165,15 @@
         self.assertEqual(parse_load([(b"X-Almondgap-Server-Load", b"3,1,8")]), (3, 1))
         self.assertIsNone(parse_load([(b"X-Almondgap-Server-Load", b"many")]))
         self.assertIsNone(parse_load([]))
+
+    def test_load_that_no_target_can_have(self):
+        # Guards against a load too large for arithmetic with fractions.
+        for value in (b"9" * 400, b"9" * 5_000, b"1e9", b"-1", b"\xb2"):
+            load = parse_load([(b"X-Almondgap-Server-Load", value + b",0,8")])
+            self.assertIsNone(load, value[:10])
+        for value in (b"1e300", b"1e400", b"nan", b"-1", b"9" * 5_000):
+            left = parse_warm_up_left([(b"X-Almondgap-Cold-Ms", value)])
+            self.assertLessEqual(left, seconds(86_400))
         self.assertEqual(
             parse_warm_up_left([(b"X-Almondgap-Cold-Ms", b"250")]), 250_000
         )
