Take null for the default of a route's flags, as before

Callers: none; found on reading the change of the decoder again. A configuration with a null in the place of `public` or `sticky` would have been refused as a whole, and a removed row marked otherwise than by true as malformed.

Test: test_missing_values_count_as_defaults failed before and passes.

--- a/packages/almondgap-daemon/almondgap_daemon/platform/records.py
+++ b/packages/almondgap-daemon/almondgap_daemon/platform/records.py
@@ -99,7 +99,7 @@
     :raises MessageError: the row is malformed.
     """
     try:
-        removed = check_flag(data.get("tombstone", False))
+        removed = bool(data.get("tombstone", False))
         return StoreRow(
             check_text(data["table"]),
             check_text(data["key"]),
@@ -250,8 +250,8 @@
         priority=check_count(data.get("priority", 0)),
         backends=backends,
         max_attempts=check_count(data.get("max_attempts", 1)),
-        public=check_flag(data.get("public", False)),
-        sticky=check_flag(data.get("sticky", False)),
+        public=check_flag(data.get("public") or False),
+        sticky=check_flag(data.get("sticky") or False),
         regions=frozenset(check_texts(data.get("allowed_regions") or ())),
     )
 
--- a/tests/daemon/platform/test_records.py
+++ b/tests/daemon/platform/test_records.py
@@ -142,6 +142,14 @@
             with self.assertRaises(MessageError, msg=(path, value)):
                 decode_configuration(encode_changed(CONFIGURATION, path, value))
 
+    def test_missing_values_count_as_defaults(self):
+        for path in ("routes.reads.public", "routes.reads.sticky"):
+            value = encode_changed(CONFIGURATION, path, "null").replace(
+                b'"null"', b"null"
+            )
+            route = decode_configuration(value).routes[0]
+            self.assertFalse(getattr(route, path.rpartition(".")[2]))
+
 
 class PlaceTests(TestCase):
     def test_decoding_reverses_encoding(self):
