Soak: a target that starts anew stays withdrawn

Trace: the target left from 5.9 to 12.7 s and was withdrawn from 10.4 to 16.9 s. At 12.7 s the end of its leaving wrote its row again, all three hosts logged it as announced at that moment (52.56 in their logs), and h1 used it. The store listed it: the case is allowed, and the soak played something else than it judged.

Change: the row is not written while the target is withdrawn, and at the end of the withdrawal it is that of its present run. The check stays as it is.

Test: test_target_that_starts_anew_stays_withdrawn failed before and passes.

--- a/packages/almondgap-testkit/almondgap_testkit/soak/stage.py
+++ b/packages/almondgap-testkit/almondgap_testkit/soak/stage.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import copy
-import json
 import random
 import re
 import signal
@@ -76,6 +75,7 @@
     configuration: dict[str, Any] = Factory(lambda: copy.deepcopy(CONFIGURATION))
     _lock: threading.RLock = Factory(threading.RLock)
     _written: dict[str, dict[str, Any]] = Factory(dict)
+    _withdrawn: set[int] = Factory(set)
     _version: int = 1
 
     @classmethod
@@ -247,7 +247,9 @@
 
     def _leaving(self, target: int, length: float) -> None:
         self._misbehave(target, length, "leaving")
-        self._write(self.site.list_runs(target)["row"])
+        with self._lock:
+            if target not in self._withdrawn:
+                self._announce(target)
 
     def _pausing(self, target: int, length: float) -> None:
         self._misbehave(target, length, "pausing")
@@ -317,10 +319,18 @@
         self._write({"table": "op", "key": key, "value": None})
 
     def _withdraw_target(self, target: int, length: float) -> None:
-        row = self.site.list_runs(target)["row"]
-        self._write({**row, "value": None})
+        with self._lock:
+            self._withdrawn.add(target)
+            row = self.site.list_runs(target)["row"]
+            self._write({**row, "value": None})
         time.sleep(length)
-        self._write(json.loads(json.dumps(row)))
+        with self._lock:
+            self._withdrawn.remove(target)
+            self._announce(target)
+
+    def _announce(self, target: int) -> None:
+        """Write the row of a target's present run."""
+        self._write(self.site.list_runs(target)["row"])
 
     def _withdraw_key(self, _: int, length: float) -> None:
         self._configure(length, "two", "api_keys", ["another"])
--- a/tests/testkit/test_soak.py
+++ b/tests/testkit/test_soak.py
@@ -4,12 +4,16 @@
 
 import subprocess
 import sys
+import threading
+import time
 from unittest import TestCase
 
+from attrs import Factory, define
+
 from almondgap_testkit.soak.callers import Attempt
 from almondgap_testkit.soak.judging import Judge
 from almondgap_testkit.soak.plan import Fault, draw_plan
-from almondgap_testkit.soak.stage import FICKLE_KEY, SMALL_KEY, SURE_KEY
+from almondgap_testkit.soak.stage import FICKLE_KEY, SMALL_KEY, SURE_KEY, Stage
 
 #: Seed of the soak in CI: its plan has faults of hosts, targets and the store.
 SEED = 4
@@ -41,6 +45,42 @@
     return Judge(list(attempts), runs, list(faults), calm).list_breaches()
 
 
+@define
+class FakeSite:
+    """Keeps the rows that are written; each target's row is that of its present run."""
+
+    rows: list[dict] = Factory(list)
+    born: int = 1
+
+    def set_mode(self, target: int, mode: str) -> None:
+        """Let a target start anew when it has left."""
+        self.born += mode == "well"
+
+    def list_runs(self, target: int) -> dict:
+        """Return the row of a target."""
+        value = {"born": self.born}
+        return {"row": {"table": "servers", "key": f"shop-{target}", "value": value}}
+
+    def write(self, row: dict) -> None:
+        """Keep a row."""
+        self.rows.append(row["value"])
+
+
+class StageTests(TestCase):
+    def test_target_that_starts_anew_stays_withdrawn(self):
+        # Guards against a store that lists a target which is judged as withdrawn.
+        site = FakeSite()
+        stage = Stage(None, site, [], [])
+        withdrawal = threading.Thread(target=stage._withdraw_target, args=(5, 0.2))
+        withdrawal.start()
+        while not site.rows:
+            time.sleep(0.01)
+        stage._leaving(5, 0.0)
+        self.assertEqual(site.rows, [None])
+        withdrawal.join()
+        self.assertEqual(site.rows, [None, {"born": 2}])
+
+
 class JudgeTests(TestCase):
     def test_answered_request_is_fine(self):
         self.assertEqual(judge([build_attempt()]), [])
