--- a/packages/almondgap-daemon/almondgap_daemon/fields.py
+++ b/packages/almondgap-daemon/almondgap_daemon/fields.py
@@ -11,7 +11,7 @@
 from math import isfinite
 from typing import Any
 
-#: Upper bound of counts: larger ones fit in no message between hosts.
+#: Upper bound of counts, so that a sum of two fits in a message between hosts.
 MAX_COUNT = 2**63 - 1
 
 #: Upper bound of numbers with fractions, far from where their products overflow.
