--- a/packages/almondgap-daemon/almondgap_daemon/fields.py
+++ b/packages/almondgap-daemon/almondgap_daemon/fields.py
@@ -8,7 +8,6 @@
 
 import re
 from ipaddress import IPv4Address
-from math import isfinite
 from typing import Any
 
 #: Upper bound of counts, so that a sum of two fits in a message between hosts.
@@ -75,10 +74,10 @@
 
 
 def check_number(value: Any, maximum: float = MAX_NUMBER) -> float:
-    """Return a finite number of 0 or more."""
+    """Return a number of 0 or more with a fraction."""
     if isinstance(value, bool) or not isinstance(value, int | float):
         raise TypeError(f"a {type(value).__name__} is not a number")
-    # The comparison comes first, as a large whole number is no fraction.
-    if not 0 <= value <= maximum or not isfinite(value):
+    # NaN fails the comparison as well.
+    if not 0 <= value <= maximum:
         raise ValueError(f"number is not from 0 to {maximum:g}")
     return float(value)
